Log how each badly ended request went, and what the module goes by

The log told nothing but the address listened on. Now a request that is not served leaves one line with its id, who ended it and all its attempts; an attempt that ended by an error, a time-out or a connection leaves one with the network's own word and the age of its connection. Lines are bounded for each reason and second, what is left out is counted, and a summary every 5 s tells the counts, the bucket pace, and each server's attempts, threshold and breaker. The module gives its reason for a refusal or failure in the text of the action; no decision changes.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -3,6 +3,7 @@
 import (
 	"container/heap"
 	"context"
+	"fmt"
 	"hash/maphash"
 	"log/slog"
 	"net/http"
@@ -68,6 +69,7 @@
 	used     ids
 	owed     int // requests without their answer
 	timers   timers
+	trace    trace
 	skipped  []policy.Outcome // of attempts that were not made; told once all actions are done
 	attempts sync.WaitGroup
 }
@@ -86,6 +88,11 @@
 	server string
 	sent   policy.Time
 	cancel context.CancelFunc
+
+	// For the log.
+	over bool
+	code policy.Code
+	took time.Duration
 }
 
 // The events of the loop, beside news.
@@ -133,6 +140,8 @@
 	defer sweep.Stop()
 	wake := time.NewTimer(0)
 	defer wake.Stop()
+	summary := time.NewTicker(summaryEvery)
+	defer summary.Stop()
 	for {
 		if len(l.timers) > 0 {
 			wake.Reset(l.timers[0].due - l.clock.now())
@@ -145,6 +154,8 @@
 		case <-wake.C:
 		case now := <-sweep.C:
 			l.up.sweep(now)
+		case <-summary.C:
+			l.trace.summary(l.owed, fmt.Sprint(l.module))
 		case <-ctx.Done():
 			return
 		}
@@ -159,7 +170,7 @@
 		if r := t.backstop; r == nil {
 			l.tell(ctx, policy.Timer{Token: t.token})
 		} else {
-			l.fail(ctx, r, http.StatusGatewayTimeout) // the module has said nothing
+			l.fail(ctx, r, http.StatusGatewayTimeout, "backstop") // the module has said nothing
 		}
 	}
 }
@@ -172,6 +183,7 @@
 		// Another request may bear the id by now.
 		if r := l.requests[e.x.req.ID]; r != nil && r.exchange == e.x && !r.ended {
 			l.settle(r)
+			l.trace.answered(l.clock.now(), r, answer{}, "client left")
 			l.tell(ctx, policy.Lapsed{ID: r.req.ID})
 			l.drop(r)
 		}
@@ -182,7 +194,7 @@
 	case finish:
 		for _, r := range l.requests {
 			if !r.ended {
-				l.fail(ctx, r, http.StatusBadGateway)
+				l.fail(ctx, r, http.StatusBadGateway, "stopping")
 			}
 		}
 	}
@@ -204,6 +216,7 @@
 	r := &request{exchange: x, deadline: end - margin}
 	l.requests[x.req.ID] = r
 	l.owed++
+	l.trace.arrived++
 	r.backstop = &timer{due: end - margin/2, backstop: r}
 	heap.Push(&l.timers, r.backstop)
 	req := x.req
@@ -214,9 +227,10 @@
 func (l *loop) end(ctx context.Context, e ending) {
 	a := &e.r.attempts[e.n]
 	a.cancel()
+	l.trace.attempt(l.clock.now(), e.r, e.n, e.result)
 	e.r.pending--
 	if e.code == policy.OK && !e.r.ended {
-		l.answer(e.r, e.result.answer)
+		l.answer(e.r, e.result.answer, "")
 	}
 	l.tell(ctx, policy.Outcome{ID: e.r.req.ID, Server: a.server, Attempt: e.n, Code: e.code,
 		Latency: l.clock.now() - a.sent, Ended: e.r.ended, Report: e.report})
@@ -261,11 +275,11 @@
 		l.attempt(ctx, a)
 	case policy.Refuse:
 		if r := l.requests[a.ID]; r != nil {
-			l.refuse(r, a.Wait)
+			l.refuse(r, a.Wait, a.Text)
 		}
 	case policy.Fail:
 		if r := l.requests[a.ID]; r != nil {
-			l.answer(r, answer{status: http.StatusBadGateway})
+			l.answer(r, answer{status: http.StatusBadGateway}, a.Text)
 			l.drop(r)
 		}
 	case policy.Cancel:
@@ -308,26 +322,28 @@
 	l.attempts.Go(func() { l.send(ending{r, n, l.up.attempt(ctx, a.Server, r.exchange)}) })
 }
 
-func (l *loop) refuse(r *request, wait time.Duration) {
+func (l *loop) refuse(r *request, wait time.Duration, why string) {
 	a := answer{status: http.StatusServiceUnavailable}
 	if wait > 0 && l.allowed.RetryAfter {
 		a = answer{status: http.StatusTooManyRequests, retryAfter: wait}
 	}
-	l.answer(r, a)
+	l.answer(r, a, why)
 	l.drop(r)
 }
 
-// answer gives the client its one answer; whatever comes later is not passed on.
-func (l *loop) answer(r *request, a answer) {
+// answer gives the client its one answer; whatever comes later is not passed on. The log is told who
+// ended the request, or why.
+func (l *loop) answer(r *request, a answer, by string) {
 	if !r.ended {
 		l.settle(r)
+		l.trace.answered(l.clock.now(), r, a, by)
 		r.reply <- a
 	}
 }
 
 // fail gives the client its one answer where the module has none in time, and tells it so.
-func (l *loop) fail(ctx context.Context, r *request, status int) {
-	l.answer(r, answer{status: status})
+func (l *loop) fail(ctx context.Context, r *request, status int, by string) {
+	l.answer(r, answer{status: status}, by)
 	l.tell(ctx, policy.Lapsed{ID: r.req.ID})
 	l.drop(r)
 }
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,6 +25,15 @@
 	most := int(clientsPart * float64(c.Sockets-ownSockets))
 	up := newUpstream(c, c.Sockets-ownSockets-most)
 	defer up.close()
+	for _, class := range c.Settings.Classes {
+		slog.Info("class", "name", class.Name, "aim", class.Aim, "deadline", class.Deadline)
+	}
+	for _, t := range c.Settings.Tenants {
+		slog.Info("tenant", "name", t.Name, "quota_rps", t.Quota)
+	}
+	slog.Info("limits", "nodes", c.Settings.Nodes, "max_open", c.MaxOpen, "connect_timeout", c.ConnectTimeout,
+		"connection_idle", c.Settings.Allowed.ConnIdle, "max_retry_after", c.Settings.Allowed.MaxRetryAfter,
+		"client_sockets", most, "server_sockets", up.most)
 	l, err := newLoop(c, ck, up)
 	if err != nil {
 		return err
--- /dev/null
+++ b/internal/node/trace.go
@@ -0,0 +1,119 @@
+package node
+
+import (
+	"context"
+	"fmt"
+	"log/slog"
+	"net/http"
+	"strings"
+	"time"
+
+	"cobaltward/policy"
+)
+
+const (
+	summaryEvery = 5 * time.Second
+	// linesPerSecond bounds the lines that single requests may write for any one reason: an overload must
+	// not drown the log, nor cost the node its core, nor one frequent end hide the rare ones. What is
+	// left out is counted.
+	linesPerSecond = 10
+)
+
+// trace is what the log tells of requests: a line for one that ended badly, with its whole history, and
+// a summary of the counts now and then. Only the loop touches it.
+type trace struct {
+	second  time.Duration // the one that lines were written in
+	lines   map[string]int
+	skipped int // lines left out since the last summary
+
+	arrived, served, failed, gone int
+	refused                       map[string]int // by the module's reason
+	outcomes                      map[string]int // of attempts, by code
+	opened                        int            // connections to servers
+}
+
+// count adds one to a map that is made when it is first needed.
+func count(m *map[string]int, name string) {
+	if *m == nil {
+		*m = make(map[string]int)
+	}
+	(*m)[name]++
+}
+
+// mayWrite takes one line out of this second's budget for a reason.
+func (t *trace) mayWrite(now policy.Time, reason string) bool {
+	if s := now.Truncate(time.Second); s != t.second {
+		t.second, t.lines = s, nil
+	}
+	if t.lines[reason] >= linesPerSecond {
+		t.skipped++
+		return false
+	}
+	count(&t.lines, reason)
+	return true
+}
+
+// attempt notes how an attempt ended, with the network's own word where it has one.
+func (t *trace) attempt(now policy.Time, r *request, n int, e result) {
+	a := &r.attempts[n]
+	a.took, a.code, a.over = now-a.sent, e.code, true
+	count(&t.outcomes, e.code.String())
+	if e.opened {
+		t.opened++
+	}
+	switch e.code {
+	case policy.OK, policy.Full, policy.Cancelled:
+		return
+	}
+	if t.mayWrite(now, "attempt "+e.code.String()) {
+		slog.Warn("attempt failed", "id", r.req.ID, "server", a.server, "attempt", n, "outcome", e.code,
+			"took", a.took, "opened", e.opened, "reused", e.uses, "idle", e.idle, "err", e.err)
+	}
+}
+
+// answered notes how a request ended; by says who ended it.
+func (t *trace) answered(now policy.Time, r *request, a answer, by string) {
+	level := slog.LevelInfo
+	switch {
+	case a.status == http.StatusOK:
+		t.served++
+		return
+	case a.status == http.StatusTooManyRequests || a.status == http.StatusServiceUnavailable:
+		count(&t.refused, by)
+	case a.status == 0:
+		t.gone++
+	default:
+		t.failed++
+		level = slog.LevelWarn
+	}
+	if !slog.Default().Enabled(context.Background(), level) || !t.mayWrite(now, by) {
+		return
+	}
+	slog.Log(context.Background(), level, "not served", "id", r.req.ID, "class", r.req.Class,
+		"tenant", r.req.Tenant, "retry", r.req.Retry, "status", a.status, "by", by,
+		"after", now-r.came, "waits", r.clientWaits, "retry_after", a.retryAfter, "attempts", r.history())
+}
+
+// history tells a request's attempts in order.
+func (r *request) history() string {
+	var b strings.Builder
+	for i, a := range r.attempts {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		end := "out"
+		if a.over {
+			end = fmt.Sprintf("%v:%.1fms", a.code, a.took.Seconds()*1e3)
+		}
+		fmt.Fprintf(&b, "%s@%.1fms=%s", a.server, (a.sent-r.came).Seconds()*1e3, end)
+	}
+	return b.String()
+}
+
+// summary writes the counts since the last one, and what the module goes by.
+func (t *trace) summary(open int, state string) {
+	slog.Info("summary", "arrived", t.arrived, "served", t.served, "refused", t.refused, "failed", t.failed,
+		"gone", t.gone, "open", open, "attempts", t.outcomes, "opened", t.opened,
+		"lines_left_out", t.skipped, "module", state)
+	*t = trace{second: t.second, lines: t.lines}
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -60,6 +60,7 @@
 	*net.TCPConn
 	pool *pool
 	used time.Time
+	uses int // requests that it served
 }
 
 func newUpstream(c Config, most int) *upstream {
@@ -255,6 +256,7 @@
 	defer u.mu.Unlock()
 	if reusable && u.pools[id] == c.pool {
 		c.used = time.Now()
+		c.uses++
 		c.pool.idle = append(c.pool.idle, c)
 		return
 	}
@@ -267,6 +269,12 @@
 	code   policy.Code
 	answer answer // for OK
 	report []float64
+
+	// For the log.
+	opened bool          // a new connection was opened for it, or was to be
+	uses   int           // requests that the connection had served before
+	idle   time.Duration // since the last of them
+	err    error         // the network's own word, where it broke
 }
 
 // attempt sends x to the server once, and waits for the whole answer until ctx ends. Ending ctx
@@ -277,11 +285,16 @@
 	case errors.Is(err, errNoSockets) && ctx.Err() == nil:
 		return result{code: policy.Moot} // nothing was sent, and the server is not to blame
 	case err != nil:
-		return result{code: broken(ctx, err, false)}
+		return result{code: broken(ctx, err, false), opened: !errors.Is(err, errUnknown), err: err}
+	}
+	uses, idle := c.uses, time.Duration(0)
+	if uses > 0 {
+		idle = time.Since(c.used)
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
 	r, reusable := u.exchange(ctx, c, x)
 	u.release(c, id, stop() && reusable)
+	r.opened, r.uses, r.idle = uses == 0, uses, idle
 	return r
 }
 
@@ -291,17 +304,17 @@
 	defer u.writers.Put(out)
 	out.Reset()
 	if err := u.request(ctx, c.pool.addr, x).Write(out); err != nil {
-		return result{code: broken(ctx, err, false)}, false
+		return result{code: broken(ctx, err, false), err: err}, false
 	}
 	if _, err := c.Write(out.Bytes()); err != nil {
-		return result{code: broken(ctx, err, false)}, false
+		return result{code: broken(ctx, err, false), err: err}, false
 	}
 	in := u.readers.Get().(*bufio.Reader)
 	defer u.readers.Put(in)
 	resp, body, err := read(in, c, x.method)
 	in.Reset(nil)
 	if err != nil {
-		return result{code: broken(ctx, err, true)}, false
+		return result{code: broken(ctx, err, true), err: err}, false
 	}
 	r = result{code: policy.ServerError, report: loadReport(resp.Header.Get("X-Load"), u.report)}
 	switch resp.StatusCode {
--- a/policy/api.go
+++ b/policy/api.go
@@ -5,7 +5,10 @@
 // This file is the interface (settings, events, actions); policy.go holds every decision.
 package policy
 
-import "time"
+import (
+	"fmt"
+	"time"
+)
 
 // Time is a moment on the host's monotonic clock, measured from any fixed origin.
 type Time = time.Duration
@@ -182,6 +185,17 @@
 	Moot
 )
 
+var codeNames = [...]string{OK: "ok", ServerError: "error", Full: "full", TimedOut: "timeout",
+	ConnectFailed: "connect failed", Reset: "reset", Cancelled: "cancelled", Moot: "moot"}
+
+// String is the code's name in logs.
+func (c Code) String() string {
+	if int(c) < len(codeNames) {
+		return codeNames[c]
+	}
+	return fmt.Sprintf("code %d", uint8(c))
+}
+
 // NotRun reports whether the code proves that the request never ran.
 func (c Code) NotRun() bool { return c == Full || c == ConnectFailed || c == Moot }
 
@@ -221,8 +235,8 @@
 // What a node can do; the comments name the fields of Action that count.
 const (
 	Send      ActionKind = iota // ID, Server, Until
-	Refuse                      // ID, Wait: the client may safely come again
-	Fail                        // ID: promises nothing
+	Refuse                      // ID, Wait: the client may safely come again; Text says why, for the log
+	Fail                        // ID: promises nothing; Text as for Refuse
 	Cancel                      // ID, Attempt
 	SetTimer                    // Wait, Token
 	Probe                       // Server
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -171,7 +171,7 @@
 	b.reqs[r.id] = r
 	b.took = append(since(b.took, b.now-b.budget.Span+1), b.now)
 	if ok, wait := b.admit(e.Tenant, e.Class); !ok {
-		b.refuse(r, wait)
+		b.refuse(r, wait, "bucket")
 		return
 	}
 	b.dispatch(r)
@@ -421,7 +421,7 @@
 // dispatch sends r to a server, or holds it while one may still turn up, or gives up.
 func (b *Balancer) dispatch(r *request) {
 	if b.spent(r) || len(r.attempts) > 0 && !b.mayRepeat() {
-		b.giveUp(r)
+		b.giveUp(r, "no attempts left")
 		return
 	}
 	s := b.trial(r)
@@ -438,7 +438,7 @@
 	case r.ranOn == nil && b.now+holdPoll < r.giveUp:
 		b.hold(r)
 	default:
-		b.giveUp(r)
+		b.giveUp(r, "no server has room")
 	}
 }
 
@@ -621,21 +621,21 @@
 	}
 }
 
-// giveUp ends r unserved: refused where that is allowed, else failed.
-func (b *Balancer) giveUp(r *request) {
+// giveUp ends r unserved: refused where that is allowed, else failed. The log is told why.
+func (b *Balancer) giveUp(r *request, why string) {
 	if r.pending > 0 {
 		return // a copy is still out and may yet answer
 	}
 	if r.ranOn == nil || r.class.Repeat == Free || r.class.Repeat == Guarded && r.class.Group == GroupAll {
-		b.refuse(r, 0)
+		b.refuse(r, 0, why)
 		return
 	}
-	b.do(Action{Kind: Fail, ID: r.id})
+	b.do(Action{Kind: Fail, ID: r.id, Text: why})
 	b.end(r)
 }
 
-func (b *Balancer) refuse(r *request, wait time.Duration) {
-	b.do(Action{Kind: Refuse, ID: r.id, Wait: wait})
+func (b *Balancer) refuse(r *request, wait time.Duration, why string) {
+	b.do(Action{Kind: Refuse, ID: r.id, Wait: wait, Text: why})
 	b.end(r)
 }
 
@@ -686,7 +686,7 @@
 	case r.pending > 0: // a copy may yet answer
 	case e.Code == Moot || b.now >= r.deadline || r.stream ||
 		r.ranOn != nil && r.class.Repeat == Never:
-		b.giveUp(r)
+		b.giveUp(r, e.Code.String())
 	default:
 		b.dispatch(r)
 	}
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,9 +1,11 @@
 package policy
 
 import (
+	"fmt"
 	"hash/fnv"
 	"math"
 	"math/rand/v2"
+	"strings"
 	"time"
 )
 
@@ -159,6 +161,21 @@
 // seconds turns a number of seconds into a Duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+// String tells what the decisions go by, in one line for the log: bucket pace, the parts that errors are
+// weighed by, and for each server in service its attempts out, threshold and breaker.
+func (b *Balancer) String() string {
+	var t strings.Builder
+	fmt.Fprintf(&t, "pace=%.2f bad=%.2f full=%.2f lost=%.2f blame=%.2f held=%d extra=%d", b.pace, b.bad,
+		b.fullPart, b.lost, b.blame, len(b.held), len(b.extra))
+	for _, s := range b.order {
+		fmt.Fprintf(&t, " %s=%d/%.1f", s.Server, s.inflight, b.limit(s))
+		if s.health.out {
+			t.WriteString("/out")
+		}
+	}
+	return t.String()
+}
+
 // doneRate is how many answers a second came lately.
 func (b *Balancer) doneRate() float64 {
 	return b.done * math.Exp(-(b.now-b.doneAt).Seconds()/doneSpan.Seconds())
