Count given-up attempts as held by their server until it answers a later one

Evidence: attempts logged with their load reports show each server falling silent for 1.2 to 1.8 s in turn, also nearly idle ones. While it was silent the module took each time-out off the server's in-flight count, so that the threshold let new work in behind 25 to 30 attempts that the server still had: a cancel or a time-out stops nothing there. After such a pile-up the large machines reported 2 to 3 times the service time at full util, and stayed slow.

At fault: onOutcome lowered inflight for every outcome alike. Given-up attempts now stay in what a server holds, which room and crowding go by, until it answers one that was sent later (work is taken in turn), or until the client's deadline.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -290,7 +290,14 @@
 }
 
 // crowding sets attempts in flight against what s was seen to take, lest one that others fill look idle.
-func (b *Balancer) crowding(s *server) float64 { return float64(s.inflight+1) / b.limit(s) }
+func (b *Balancer) crowding(s *server) float64 { return float64(b.holds(s)+1) / b.limit(s) }
+
+// holds is how many of this node's attempts s still has: those out, and those given up that it may yet
+// work on, for a time-out frees nothing there. Until it answers one sent later, they wait or run.
+func (b *Balancer) holds(s *server) int {
+	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= b.now })
+	return s.inflight + len(s.ghosts)
+}
 
 // limit is the threshold of s, for a shared server scaled by the trust in all such: a node sees too
 // little of each to learn its threshold in time.
@@ -308,9 +315,9 @@
 func (b *Balancer) hasRoom(s *server) bool {
 	limit := b.limit(s)
 	if limit >= 1 {
-		return float64(s.inflight) < limit
+		return float64(b.holds(s)) < limit
 	}
-	return s.inflight == 0 && b.now-s.lastSend >= seconds(s.latency*(1/limit-1))
+	return b.holds(s) == 0 && b.now-s.lastSend >= seconds(s.latency*(1/limit-1))
 }
 
 // usable tells whether r may go to s now: s is in service, the rules allow it, and, if cold, it has room.
@@ -678,6 +685,7 @@
 	r.pending--
 	a.server.use(b.now)
 	a.server.inflight--
+	a.server.haunt(r, a, e.Code)
 	r.settle()
 	b.observe(r, a, e)
 	switch {
@@ -692,6 +700,17 @@
 	}
 }
 
+// haunt keeps an attempt that was given up in the count of what s holds. Servers take work in turn: an
+// answer shows that what was sent before it has been taken up.
+func (s *server) haunt(r *request, a *attempt, code Code) {
+	switch code {
+	case TimedOut, Cancelled:
+		s.ghosts = append(s.ghosts, ghost{sent: a.sent, until: a.sent + r.class.Deadline})
+	case OK:
+		s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.sent <= a.sent })
+	}
+}
+
 // settle works out which attempt of r may have run first; one without an outcome may have.
 func (r *request) settle() {
 	r.ranOn = nil
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -820,3 +820,49 @@
 		t.Errorf("not refused within half of its time: %+v", acts)
 	}
 }
+
+// An attempt given up frees nothing at its server: it counts among what the server holds until an attempt
+// sent later is answered, or until no client could still wait for it.
+func TestGivenUpAttemptsStillFillTheirServer(t *testing.T) {
+	for _, c := range []struct {
+		name string
+		then func(b *Balancer, s *server)
+		want int
+	}{
+		{"nothing since", func(*Balancer, *server) {}, 3},
+		{"an answer to an earlier one", func(b *Balancer, s *server) {
+			b.Handle(260*ms, outcome("early", 0, s.Server, OK, 260*ms))
+		}, 2}, // that one itself is gone
+		{"an answer to a later one", func(b *Balancer, s *server) {
+			b.Handle(260*ms, outcome("late", 0, s.Server, OK, 10*ms))
+		}, 1}, // and only the early one is left
+		{"a fast error to a later one", func(b *Balancer, s *server) {
+			b.Handle(260*ms, outcome("late", 0, s.Server, ServerError, 10*ms))
+		}, 2},
+		{"the deadline", func(b *Balancer, s *server) { b.now = 10*ms + 600*ms }, 2},
+	} {
+		b := start(t, site(1), members(1))
+		s := b.order[0]
+		s.threshold = 3
+		for _, e := range []struct {
+			id string
+			at Time
+		}{{"early", 0}, {"slow", 10 * ms}, {"late", 250 * ms}} {
+			b.reqs[e.id] = &request{id: e.id, class: b.classes["once"], deadline: time.Second, worthTo: time.Second}
+			b.now = e.at
+			b.send(b.reqs[e.id], s, false)
+		}
+		b.Handle(255*ms, outcome("slow", 0, s.Server, TimedOut, 245*ms))
+		if s.inflight != 2 {
+			t.Fatalf("%s: %d attempts out, want 2", c.name, s.inflight)
+		}
+		c.then(b, s)
+		if got := b.holds(s); got != c.want {
+			t.Errorf("%s: the server holds %d, want %d", c.name, got, c.want)
+		}
+		s.threshold = float64(c.want)
+		if b.hasRoom(s) {
+			t.Errorf("%s: room beyond a threshold of %d", c.name, c.want)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -67,6 +67,7 @@
 	hash      uint64
 	safest    Repeat  // of the classes that it is open to: those give the trials
 	inflight  int     // this node's attempts out
+	ghosts    []ghost // attempts given up that it may still work on
 	threshold float64 // packing threshold, in attempts in flight
 	own       bool    // at the start of this node's own walk
 	felt      bool    // the threshold was cut at least once
@@ -95,6 +96,9 @@
 	held     bool     // it waited for a server at least once
 }
 
+// ghost is an attempt that was given up.
+type ghost struct{ sent, until Time }
+
 type attempt struct {
 	server *server
 	sent   Time
