Send nothing new to a server that has stalled, until it answers

At fault: room went by the in-flight count alone, and the look at slow attempts comes at 1.2 times a class's tail, by then the same as its aim: the time-out comes first.

With n requests out, answers come n times as often as the mean latency says. After five such gaps of silence (chance: under 1 in 100) a server now has no room and isn't the least busy either. It isn't ejected for it, and the next answer ends it.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -221,6 +221,7 @@
 	fullEnough        = 0.2           // part of full answers among bad ones from which servers shed early
 	lostMost          = 0.1           // part of the other answers that may time out there
 	fullGain, badGain = 0.02, 0.01    // weight of one answer in these parts, and in that of bad answers
+	stallTimes        = 5.0           // mean gaps between its answers from which a silent server is stalled
 	crowdLimit        = 2.0           // times its limit, the least busy is filled; more would only be late
 	slowPart          = 0.6           // part of the aim from which an answer tells of a crowd
 	keyHomes          = 3             // servers that keep a key warm in each zone
@@ -244,7 +245,7 @@
 		if b.hasRoom(s) {
 			return s, true
 		}
-		if least == nil || b.crowding(s) < b.crowding(least) {
+		if (least == nil || b.crowding(s) < b.crowding(least)) && !b.stalled(s) {
 			least = s
 		}
 	}
@@ -275,6 +276,14 @@
 	return best
 }
 
+// stalled tells whether s has been silent for so long that chance hardly explains it: with n requests of a
+// mean latency, answers come n times as often. It may be back any moment, so it isn't ejected for that;
+// but what is sent meanwhile piles up, and all of it is late.
+func (b *Balancer) stalled(s *server) bool {
+	gap := seconds(stallTimes * s.latency / float64(max(1, b.holds(s))))
+	return s.inflight > 0 && b.now-max(s.lastDone, s.busyFrom) > gap
+}
+
 // start is what s is first trusted with by this node.
 func (b *Balancer) start(s *server) float64 {
 	switch {
@@ -315,7 +324,7 @@
 func (b *Balancer) hasRoom(s *server) bool {
 	limit := b.limit(s)
 	if limit >= 1 {
-		return float64(b.holds(s)) < limit
+		return float64(b.holds(s)) < limit && !b.stalled(s)
 	}
 	return b.holds(s) == 0 && b.now-s.lastSend >= seconds(s.latency*(1/limit-1))
 }
@@ -483,6 +492,9 @@
 	b.do(Action{Kind: Send, ID: r.id, Server: s.Server, Until: r.worthTo})
 	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, trial: trial, idle: idle})
 	r.pending++
+	if s.inflight == 0 {
+		s.busyFrom = b.now
+	}
 	s.inflight++
 	s.use(b.now)
 	s.lastSend = b.now
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"maps"
 	"math"
 	"reflect"
 	"slices"
@@ -866,3 +867,39 @@
 		}
 	}
 }
+
+// A server that has been silent for far longer than its answers are apart gets nothing new, however much
+// room its threshold leaves, until it answers.
+func TestStalledServersGetNothingNew(t *testing.T) {
+	b := start(t, site(1), members(2))
+	s := b.order[0]
+	s.latency, s.threshold = 0.1, 8
+	var ids []string
+	send := func(now Time) string {
+		id := fmt.Sprint("r", len(ids))
+		ids = append(ids, id)
+		return sentTo(t, b.Handle(now, ask(id, "free")))
+	}
+	for i := range 4 { // answers are 25 ms apart at this depth
+		if got := send(time.Second + Time(i)*ms); got != s.Server {
+			t.Fatalf("sent to %s, want the first in order", got)
+		}
+	}
+	if got := send(time.Second + 100*ms); got != s.Server {
+		t.Errorf("after four mean gaps: sent to %s, want %s", got, s.Server)
+	}
+	if got := send(time.Second + 200*ms); got == s.Server {
+		t.Errorf("after ten mean gaps of silence: sent to %s all the same", got)
+	}
+	b.Handle(time.Second+210*ms, outcome(ids[0], 0, s.Server, OK, 210*ms))
+	s.latency = 0.1
+	if got := send(time.Second + 220*ms); got != s.Server {
+		t.Errorf("after an answer: sent to %s, want %s", got, s.Server)
+	}
+	for _, r := range slices.Collect(maps.Values(b.reqs)) {
+		b.Handle(time.Second+230*ms, outcome(r.id, 0, r.attempts[0].server.Server, OK, 30*ms))
+	}
+	if got := send(time.Minute); got != s.Server {
+		t.Errorf("after a pause without requests: sent to %s, want %s", got, s.Server)
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -74,6 +74,7 @@
 	used      []Time  // when so many connections were last in use
 	lastSend  Time
 	lastDone  Time    // when it last answered anything
+	busyFrom  Time    // since when attempts have been out all the time
 	latency   float64 // mean latency of its answers, in seconds
 	faults    float64 // part of errors and resets among its outcomes lately
 	health    health
