Take an answer from 0.4 of its aim as slow, before servers fall behind

At fault: the threshold rule took an answer as slow from 0.6 of its class's aim. At that age even the class with the shortest aim waits behind several times the cores, the edge at which machines turn slow.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -223,7 +223,7 @@
 	fullGain, badGain = 0.02, 0.01    // weight of one answer in these parts, and in that of bad answers
 	stallTimes        = 5.0           // mean gaps between its answers from which a silent server is stalled
 	crowdLimit        = 2.0           // times its limit, the least busy is filled; more would only be late
-	slowPart          = 0.6           // part of the aim from which an answer tells of a crowd
+	slowPart          = 0.4           // part of the aim from which an answer tells of a crowd; later, queues jam
 	keyHomes          = 3             // servers that keep a key warm in each zone
 	hashPrime         = 1099511628211 // of the 64-bit FNV hash
 )
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -903,3 +903,20 @@
 		t.Errorf("after a pause without requests: sent to %s, want %s", got, s.Server)
 	}
 }
+
+// A threshold stops growing well before answers are late: at half the aim a server has fallen behind.
+func TestThresholdsFallBeforeAnswersAreLate(t *testing.T) {
+	for _, c := range []struct {
+		latency time.Duration
+		grows   bool
+	}{{25 * ms, true}, {80 * ms, true}, {125 * ms, false}, {240 * ms, false}} { // of an aim of 250 ms
+		b := start(t, site(1), members(1))
+		s := b.order[0]
+		was := s.threshold
+		s.inflight = int(was) // full, so that the threshold is felt
+		b.learn(s, b.classes["free"], OK, c.latency)
+		if grows := s.threshold > was; grows != c.grows {
+			t.Errorf("an answer after %v: threshold %v, was %v", c.latency, s.threshold, was)
+		}
+	}
+}
