Let no threshold fall under 0.7 of its start, so that slow machines stay in use

Evidence: the summaries show the slow machines' thresholds at 0.8, the floor of 0.25 times the start. One under 1 is kept in time, at most one attempt with pauses between. These machines have five cores, and answer 3 to 6 requests per 0.1 s whenever they hold five or six. Their own speed makes more than a sixth of the answers slow, so their thresholds sink with no crowd at all, the faster the sooner an answer counts as slow.

At fault: leastPart. A threshold now leaves at least two of each of two nodes, which five cores take.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -208,7 +208,7 @@
 	startOwn          = 2.0           // attempts first trusted to servers where the own walk starts,
 	startOthers       = 1.0           // to any other, by all nodes together,
 	startShared       = 3.0           // and to one that all nodes of a zone share by key
-	leastPart         = 0.25          // part of its start below which no threshold falls
+	leastPart         = 0.7           // part of its start below which no threshold falls
 	thresholdGrow     = 0.05          // attempts a good answer adds; against slowCut, a sixth may be slow
 	slowCut           = 0.25          // attempts a slow answer takes off
 	trustGrow         = 0.02          // part by which a good answer raises the trust in shared servers
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -920,3 +920,19 @@
 		}
 	}
 }
+
+// A machine whose answers are slow by its own speed keeps room for a few attempts of each of two nodes:
+// it has several cores, and with less it would stand idle while buckets refuse for want of room.
+func TestSlowMachinesKeepRoomForAFew(t *testing.T) {
+	b := start(t, site(2), members(1))
+	s := b.order[0]
+	for range 200 {
+		b.learn(s, b.classes["free"], OK, 240*ms)
+	}
+	for out, want := range map[int]bool{0: true, 1: true, 2: true, 3: false} {
+		s.inflight = out
+		if got := b.hasRoom(s); got != want {
+			t.Errorf("with %d attempts out: room %v, want %v", out, got, want)
+		}
+	}
+}
