Count a retry's aim from its client's first try, and don't send it past that

The tries of the classes that clients don't give up early wait for what is left of the class's deadline (839 ms of 840, 1999 of 2000), so the time gone can be read off; of a class with shorter single tries, first tries tell that share. The module gave every retry a whole new aim, a token and a place at a server, and no client could gain by it; a time-out stops no work there either.

At fault: onRequest, which set worthTo without regard to Retry. Past its aim a retry is now refused at once, before it takes a token; before that its attempts end with the aim that is left.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -160,7 +160,7 @@
 		c = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, index: -1, open: &b.pool}
 	}
 	r := &request{id: e.ID, class: c, deadline: b.now + e.ExpiresIn}
-	aim := c.Aim + time.Duration(c.AimStretch*float64(e.Hint))
+	aim := c.Aim + time.Duration(c.AimStretch*float64(e.Hint)) - c.gone(e)
 	r.giveUp, r.worthTo = b.now+min(aim, e.ExpiresIn)/2, r.deadline // a late refusal costs the client its time
 	if c.LateWorth <= 0 {
 		r.worthTo = min(r.deadline, b.now+aim)
@@ -170,6 +170,10 @@
 	}
 	b.reqs[r.id] = r
 	b.took = append(since(b.took, b.now-b.budget.Span+1), b.now)
+	if b.spent(r) {
+		b.giveUp(r, "worth nothing any more")
+		return
+	}
 	if ok, wait := b.admit(e.Tenant, e.Class); !ok {
 		b.refuse(r, wait, "bucket")
 		return
@@ -177,6 +181,27 @@
 	b.dispatch(r)
 }
 
+const (
+	goneSlack = 0.04 // part of the deadline that hosts may keep for themselves, and clients' clocks differ
+	tryShare  = 0.96 // part of the deadline up to which first tries are seen to wait for less than all of it
+)
+
+// gone is how long a retry's client has waited since its first try, at least: the aim counts from there.
+// A try waits for what is left of the deadline, or for less where clients give up single tries, and then
+// it tells nothing.
+func (c *class) gone(e Request) time.Duration {
+	if !e.Retry {
+		c.firstWait = e.ExpiresIn
+		return 0
+	}
+	slack := time.Duration(goneSlack * float64(c.Deadline))
+	single := c.firstWait < time.Duration(tryShare*float64(c.Deadline))
+	if c.firstWait == 0 || single && (e.ExpiresIn-c.firstWait).Abs() < slack {
+		return 0
+	}
+	return max(0, c.Deadline-e.ExpiresIn-slack)
+}
+
 const (
 	paceGrow, paceCut = 0.02, 0.02 // steps of the bucket rates at each choice: half may find no room
 	paceLeast         = 0.3        // below, in-share traffic starves by faults that shedding can't mend
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -936,3 +936,41 @@
 		}
 	}
 }
+
+// The aim of a retry counts from its client's first try, as far as its time left tells: past the aim it
+// is answered at once, takes no token, and goes to no server.
+func TestRetriesEarnNothingPastTheFirstAim(t *testing.T) { // aims of 250 ms, deadlines of 600 ms
+	for _, c := range []struct {
+		name         string
+		first, retry time.Duration // how long the client would wait for either
+		sent         bool
+		until        Time // of the attempt, from the retry's arrival on
+	}{
+		{"refused at once", 600 * ms, 595 * ms, true, 250 * ms},
+		{"half of the aim gone", 600 * ms, 476 * ms, true, 150 * ms},
+		{"past the aim", 600 * ms, 310 * ms, false, 0},
+		{"single tries are given up early", 320 * ms, 320 * ms, true, 250 * ms},
+		{"little is left after those", 320 * ms, 200 * ms, false, 0},
+		{"the last of them waits for all that is left", 320 * ms, 500 * ms, true, 174 * ms},
+	} {
+		set := site(1)
+		set.Tenants[0].Quota = 4
+		b := start(t, set, members(2))
+		const now = time.Minute
+		e := ask("first", "free")
+		e.ExpiresIn = c.first
+		b.Handle(now, e)
+		before := b.buckets[bucketKey{tenant: "t"}].tokens
+		e = ask("again", "free")
+		e.ExpiresIn, e.Retry = c.retry, true
+		acts := b.Handle(now, e)
+		spent := before - b.buckets[bucketKey{tenant: "t"}].tokens
+		if got := len(of(acts, Send)) == 1; got != c.sent || got != (spent == 1) || got == (len(of(acts, Refuse)) == 1) {
+			t.Errorf("%s: sent %v, %d tokens taken, want %v: %+v", c.name, got, spent, c.sent, acts)
+			continue
+		}
+		if c.sent && of(acts, Send)[0].Until != now+c.until {
+			t.Errorf("%s: waits %v for it, want %v", c.name, of(acts, Send)[0].Until-now, c.until)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -54,11 +54,12 @@
 // class is a request class with what was learned of it.
 type class struct {
 	Class
-	open    *pool // the servers that it may be sent to
-	index   int
-	tail    time.Duration // estimate of a high quantile of its latency
-	watched []watch       // attempts to look at when they are slow, oldest first
-	armed   bool          // the timer for the head of watched is set
+	open      *pool // the servers that it may be sent to
+	index     int
+	firstWait time.Duration // how long the last first try would wait
+	tail      time.Duration // estimate of a high quantile of its latency
+	watched   []watch       // attempts to look at when they are slow, oldest first
+	armed     bool          // the timer for the head of watched is set
 }
 
 // server is one listed server as this node sees it.
