Tell clients when to come back whose requests the module gives up

The log shows every refusal other than a bucket's with retry_after=0s: 'no server has room', 'no attempts left' and time-outs went out as a bare 503, and clients who would wait came again at once, into the same crowd. giveUp passed no wait. It now passes a second, the shortest wait that a bucket tells; the answer itself goes out as soon as before.

--- a/policy/example_test.go
+++ b/policy/example_test.go
@@ -51,5 +51,5 @@
 	// Output:
 	// send r1 to one until 1.2s
 	// send r1 to two until 1.2s
-	// refuse r2 for 0s
+	// refuse r2 for 1s
 }
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -446,6 +446,7 @@
 // ---- Attempts: sending, retries, hedges, holding ----
 
 const (
+	comeBack    = time.Second           // told to a client whose request is given up: the bucket's shortest
 	offerPrice  = 0.15                  // of an attempt after full answers where servers shed early
 	holdPoll    = 20 * time.Millisecond // between looks at held requests
 	tailPart    = 0.95                  // latency quantile of a class at which attempts are looked at again
@@ -671,7 +672,7 @@
 		return // a copy is still out and may yet answer
 	}
 	if r.ranOn == nil || r.class.Repeat == Free || r.class.Repeat == Guarded && r.class.Group == GroupAll {
-		b.refuse(r, 0, why)
+		b.refuse(r, comeBack, why)
 		return
 	}
 	b.do(Action{Kind: Fail, ID: r.id, Text: why})
