Take a server ejected for silence back with its first good answer

Evidence: the summaries mark ejected servers; the attempts show that each had stalled, with time-outs as its only failures, was tried 1, 2, 4 and 8 s later by one request, and needed three good answers in a row after that. A trial that met the next stall put it off twice as long.

At fault: the breaker treated silence like bad answers. Three good trials in a row tell a server that fails half of its requests from a well one; of one that said nothing, any good answer says enough. It is now tried every second, and is back with the first; errors, resets and full answers eject as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -647,7 +647,7 @@
 			continue // a server that answers others has a heavy request, and a second copy would be as heavy
 		}
 		if a.idle == 0 {
-			b.strike(a.server, silenceWeight)
+			b.strike(a.server, silenceWeight, TimedOut)
 		}
 		if !w.req.ended && !w.req.stream && w.req.pending == 1 {
 			b.hedge(w.req)
@@ -817,7 +817,7 @@
 	s, h := a.server, &a.server.health
 	switch {
 	case h.out && a.trial && code == OK:
-		if h.trials++; h.trials >= trialsNeeded {
+		if h.trials++; h.hung || h.trials >= trialsNeeded {
 			*h, s.threshold = health{}, b.start(s)
 			b.countEjected()
 		}
@@ -825,25 +825,25 @@
 		if code.fault() && b.blame < 1 { // it may be well, so it is not put off for longer each time
 			h.times = 0
 		}
-		b.eject(s)
+		b.eject(s, code == TimedOut)
 	case code == OK:
 		h.score -= failWeight * b.blame * h.score
 	case code == Full && b.shedEarly():
 	case code == Full:
-		b.strike(s, fullWeight)
+		b.strike(s, fullWeight, code)
 	case code.fault():
-		b.strike(s, failWeight*b.blame)
+		b.strike(s, failWeight*b.blame, code)
 	case s.lastDone < a.sent: // a server that answers others isn't hung
-		b.strike(s, failWeight)
+		b.strike(s, failWeight, code)
 	}
 }
 
 // strike counts a failure, or a silence, against a server.
-func (b *Balancer) strike(s *server, weight float64) {
+func (b *Balancer) strike(s *server, weight float64, code Code) {
 	h := &s.health
 	h.score += weight * (1 - h.score)
 	if !h.out && h.score > failLimit && b.mayEject(s) {
-		b.eject(s)
+		b.eject(s, code == TimedOut)
 	}
 }
 
@@ -858,10 +858,15 @@
 	return true
 }
 
-func (b *Balancer) eject(s *server) {
+// eject takes s out of service for a while, longer each time. One that was merely silent is most often
+// back soon, and its first answer shows it: it is tried as soon each time, and once.
+func (b *Balancer) eject(s *server, hung bool) {
 	h := &s.health
+	if hung {
+		h.times = 0
+	}
 	span := min(ejectMost, ejectFirst<<min(h.times, 10))
-	h.out, h.until, h.trials, h.times = true, b.now+span, 0, h.times+1
+	h.out, h.hung, h.until, h.trials, h.times = true, hung, b.now+span, 0, h.times+1
 	b.countEjected()
 }
 
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -134,7 +134,7 @@
 	}
 	for _, id := range []string{"s01", "s04", "s07"} {
 		b.servers[id].health.score = 0.6
-		b.strike(b.servers[id], failWeight)
+		b.strike(b.servers[id], failWeight, ServerError)
 	}
 	if b.ranked[0].open.ejected != 1 {
 		t.Errorf("%d of the class's 3 servers are ejected, want 1", b.ranked[0].open.ejected)
@@ -290,7 +290,7 @@
 func TestOutrunTrialIsFollowedByAnother(t *testing.T) {
 	b := start(t, site(1), members(6))
 	s := b.servers["s00"]
-	b.eject(s)
+	b.eject(s, false)
 	now := s.health.until
 	if got := sentTo(t, b.Handle(now, ask("x", "free"))); got != "s00" {
 		t.Fatalf("trial went to %s", got)
@@ -309,7 +309,7 @@
 func TestFullTrialPutsTheNextOff(t *testing.T) {
 	b := start(t, site(1), members(6))
 	s := b.servers["s00"]
-	b.eject(s)
+	b.eject(s, false)
 	now := s.health.until
 	b.Handle(now, ask("x", "free"))
 	b.Handle(now+ms, outcome("x", 0, "s00", Full, ms))
@@ -760,7 +760,7 @@
 			t.Errorf("%s: threshold %v, was %v", s.Server, s.threshold, first)
 		}
 	}
-	b.eject(b.order[0]) // for once
+	b.eject(b.order[0], false) // for once
 	now += 5 * time.Second
 	b.reqs["trial"] = &request{id: "trial", class: b.classes["free"], deadline: now + time.Second}
 	b.send(b.reqs["trial"], b.order[0], true)
@@ -974,3 +974,48 @@
 		}
 	}
 }
+
+// A server ejected for silence is tried once a second and is back with its first answer; one ejected for
+// what it answered is put off for longer each time, and must answer well three times.
+func TestSilentServersComeBackWithTheirFirstAnswer(t *testing.T) {
+	for _, c := range []struct {
+		code   Code
+		offs   []time.Duration // from each ejection to the next trial
+		trials int             // good ones until it is back
+	}{
+		{TimedOut, []time.Duration{time.Second, time.Second, time.Second}, 1},
+		{ServerError, []time.Duration{time.Second, 2 * time.Second, 4 * time.Second}, trialsNeeded},
+	} {
+		b := start(t, site(1), members(6))
+		s, now := b.order[0], time.Minute
+		b.now = now
+		for !s.health.out {
+			b.strike(s, failWeight, c.code)
+		}
+		try := func(code Code) {
+			id := fmt.Sprint(now)
+			if got := sentTo(t, b.Handle(now, ask(id, "free"))); got != s.Server {
+				t.Fatalf("%v: the trial at %v went to %s", c.code, now, got)
+			}
+			now += 200 * ms
+			b.Handle(now, outcome(id, 0, s.Server, code, 200*ms))
+		}
+		for i, off := range c.offs {
+			if got := s.health.until - now; got != off {
+				t.Errorf("%v: ejection %d lasts %v, want %v", c.code, i, got, off)
+			}
+			now = s.health.until
+			try(c.code)
+		}
+		now = s.health.until
+		for n := 1; n <= c.trials; n++ {
+			if !s.health.out {
+				t.Errorf("%v: back after %d good trials, want %d", c.code, n-1, c.trials)
+			}
+			try(OK)
+		}
+		if s.health.out {
+			t.Errorf("%v: still out after %d good trials", c.code, c.trials)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -129,6 +129,7 @@
 type health struct {
 	score    float64
 	out      bool // ejected, or half-open once until has passed
+	hung     bool // ejected for silence, not for what it answered
 	until    Time
 	times    int // ejections in a row
 	trials   int // good trials in a row
