Keep the test of silent servers off connections that may be gone

A trial that times out on a connection idle for long says nothing of its server, so the test's second trial was not counted, and the test failed.

--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -986,7 +986,9 @@
 		{TimedOut, []time.Duration{time.Second, time.Second, time.Second}, 1},
 		{ServerError, []time.Duration{time.Second, 2 * time.Second, 4 * time.Second}, trialsNeeded},
 	} {
-		b := start(t, site(1), members(6))
+		set := site(1)
+		set.Allowed.ConnIdle = 500 * ms // so that no trial goes out on a connection that may be gone
+		b := start(t, set, members(6))
 		s, now := b.order[0], time.Minute
 		b.now = now
 		for !s.health.out {
