Let each of many nodes fill its first few servers, within its even part of all

Counted over all 80 logs (summaries, 5 s each): from 0 to 5 s 1,043 requests ended by "no server has room" and 1,727 by a bucket; the buckets' mean pace had fallen to 0.66 by then, and to 0.49 at 15 s. Each node trusted its one own server with 1.5 attempts and each of the other 59 with 1/80 of one: 2.2 attempts in all, where 19 requests a second at 0.18 s need 3.4. A part of an attempt is kept in time, so an idle server was open to a node once in 20 s. Ruled out: descriptors (91 of 384), CPU (0.02 s in a second), discovery (price 0.0001), full answers and failed connects (none).

At fault: start() in policy.go, which divides what others' servers are trusted with by the number of nodes until it is far under one attempt. Now every server starts at one attempt at least, so that a node's walk fills its own first few. So a node has out at most its even part of twice what all nodes first trust the servers with, counted by the list and the ramps of cold ones (crowded()). Trust learned for all together and own servers remain where keys have homes, and only there; the least threshold is a part of a node's even part.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -229,11 +229,10 @@
 
 const (
 	manyNodes         = 3             // nodes; more would jam the first server, so each walks from elsewhere
-	startFew          = 6.0           // attempts first trusted to a server by all nodes where they are few,
-	startOwn          = 2.0           // attempts first trusted to servers where the own walk starts,
-	startOthers       = 1.0           // to any other, by all nodes together,
+	startFew          = 6.0           // attempts first trusted to a server by all nodes, one each at least
+	startOthers       = 1.0           // where keys have homes, to one of another zone by all nodes together,
 	startShared       = 3.0           // and to one that all nodes of a zone share by key
-	leastPart         = 0.7           // part of its start below which no threshold falls
+	leastPart         = 0.7           // part of a node's even part of startFew below which no threshold falls
 	thresholdGrow     = 0.05          // attempts a good answer adds; against slowCut, a sixth may be slow
 	slowCut           = 0.25          // attempts a slow answer takes off
 	trustGrow         = 0.02          // part by which a good answer raises the trust in shared servers
@@ -257,6 +256,9 @@
 // than its threshold, else the least busy; nil where none may be used. Room is also reported where
 // the least busy was never cut: what it takes is not known yet.
 func (b *Balancer) pick(r *request) (s *server, room bool) {
+	if b.crowded() {
+		return nil, false
+	}
 	for _, s := range b.homes(r) {
 		if s != nil && b.usable(r, s) && b.hasRoom(s) {
 			return s, true
@@ -314,15 +316,30 @@
 	switch {
 	case !b.staggered():
 		return max(1, startFew/float64(b.set.Nodes))
-	case s.own && b.set.WarmKeys:
-		return min(1, startShared*float64(b.zones)/float64(b.set.Nodes))
+	case !b.set.WarmKeys:
+		return 1
 	case s.own:
-		return startOwn * min(1, float64(len(b.order))/float64(b.set.Nodes))
+		return min(1, startShared*float64(b.zones)/float64(b.set.Nodes))
 	default:
 		return min(1, startOthers/float64(b.set.Nodes))
 	}
 }
 
+// crowded tells whether this node has its even part of what all nodes may have out together. Where nodes
+// outnumber the attempts that a server takes, a threshold of one each is no bound: those whose walks reach
+// a server fill it by far, long before the outcomes tell any of them.
+func (b *Balancer) crowded() bool {
+	if b.set.WarmKeys || float64(b.set.Nodes) <= startFew {
+		return false
+	}
+	out, warm := 0, 0.0
+	for _, s := range b.order {
+		out += b.holds(s)
+		warm += b.ramp(s)
+	}
+	return float64(out) >= max(1, crowdLimit*startFew*warm/float64(b.set.Nodes))
+}
+
 // crowding sets attempts in flight against what s was seen to take, lest one that others fill look idle.
 func (b *Balancer) crowding(s *server) float64 { return float64(b.holds(s)+1) / b.limit(s) }
 
@@ -342,8 +359,8 @@
 	return s.threshold
 }
 
-// shared tells whether other nodes send s most of its work: it isn't own, or the home of keys for all.
-func (b *Balancer) shared(s *server) bool { return b.staggered() && (!s.own || b.set.WarmKeys) }
+// shared tells whether other nodes send s most of its work: it is the home of keys for all.
+func (b *Balancer) shared(s *server) bool { return b.staggered() && b.set.WarmKeys }
 
 // hasRoom tells whether a server is under its threshold. A threshold under one is kept in time.
 func (b *Balancer) hasRoom(s *server) bool {
@@ -426,7 +443,8 @@
 		b.trust = max(1, b.trust*(1-trustCut))
 	}
 	s.felt = s.felt || bad
-	s.threshold = max(leastPart*b.start(s), s.threshold+step*min(1, s.threshold))
+	least := leastPart * min(b.start(s), startFew/float64(b.set.Nodes))
+	s.threshold = max(least, s.threshold+step*min(1, s.threshold))
 }
 
 // compare sets faults against the median server's: what all have alike, none of them is to blame for.
@@ -999,16 +1017,8 @@
 	b.order = append(b.stagger(own), b.stagger(others)...)
 	b.zoned, b.zones = len(own), len(zones)
 	b.place()
-	stretch := float64(len(own)*len(zones)) / float64(b.set.Nodes)
-	if b.set.WarmKeys { // a key has the same home for all nodes of a zone
-		stretch = float64(len(own))
-	}
 	for i, s := range b.order {
-		was := s.own
-		s.own = i < len(own) && float64(i) < stretch
-		if s.own && !was { // its former main user drains, died or moved on with the list
-			s.threshold = max(s.threshold, b.start(s))
-		}
+		s.own = i < len(own)
 		if s.threshold == 0 {
 			s.threshold = b.start(s)
 			s.lastSend = b.now - seconds(b.rng.Float64()*s.latency/s.threshold)
--- a/policy/state.go
+++ b/policy/state.go
@@ -70,7 +70,7 @@
 	inflight  int     // this node's attempts out
 	ghosts    []ghost // attempts given up that it may still work on
 	threshold float64 // packing threshold, in attempts in flight
-	own       bool    // at the start of this node's own walk
+	own       bool    // of this node's zone
 	felt      bool    // the threshold was cut at least once
 	used      []Time  // when so many connections were last in use
 	lastSend  Time
