Log what each server made of its attempts, with its last load report

The summary names for each server the attempts that ended, how many of them well, how long those took in the mean, and the last report. Over all nodes' logs this gives each server's rate and business, which showed nothing before but how many attempts were out.

--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -4,7 +4,9 @@
 	"context"
 	"fmt"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"strings"
 	"time"
 
@@ -30,6 +32,14 @@
 	refused                       map[string]int // by the module's reason
 	outcomes                      map[string]int // of attempts, by code
 	opened                        int            // connections to servers
+	servers                       map[string]*served
+}
+
+// served is what one server made of the attempts that ended since the last summary.
+type served struct {
+	ended, ok int
+	took      time.Duration // of the good ones, in all
+	report    []float64     // the last one
 }
 
 // count adds one to a map that is made when it is first needed.
@@ -61,6 +71,22 @@
 	if e.opened {
 		t.opened++
 	}
+	if t.servers == nil {
+		t.servers = make(map[string]*served)
+	}
+	s := t.servers[a.server]
+	if s == nil {
+		s = new(served)
+		t.servers[a.server] = s
+	}
+	s.ended++
+	if e.code == policy.OK {
+		s.ok++
+		s.took += a.took
+	}
+	if e.report != nil {
+		s.report = e.report
+	}
 	switch e.code {
 	case policy.OK, policy.Full, policy.Cancelled:
 		return
@@ -110,10 +136,24 @@
 	return b.String()
 }
 
+// ended tells for each server how many attempts ended and how many of them well, how long those took in the
+// mean, and its last load report.
+func (t *trace) ended() string {
+	var b strings.Builder
+	for i, id := range slices.Sorted(maps.Keys(t.servers)) {
+		if i > 0 {
+			b.WriteByte(' ')
+		}
+		s := t.servers[id]
+		fmt.Fprintf(&b, "%s=%d/%d/%.0fms%.3g", id, s.ended, s.ok, s.took.Seconds()*1e3/float64(max(1, s.ok)), s.report)
+	}
+	return b.String()
+}
+
 // summary writes the counts since the last one, and what the module goes by.
 func (t *trace) summary(open int, state string) {
 	slog.Info("summary", "arrived", t.arrived, "served", t.served, "refused", t.refused, "failed", t.failed,
 		"gone", t.gone, "open", open, "attempts", t.outcomes, "opened", t.opened,
-		"lines_left_out", t.skipped, "module", state)
+		"lines_left_out", t.skipped, "servers", t.ended(), "module", state)
 	*t = trace{second: t.second, lines: t.lines}
 }
--- a/internal/node/trace_test.go
+++ b/internal/node/trace_test.go
@@ -36,12 +36,15 @@
 		}
 	}
 	log.Reset()
+	r.attempts = append(r.attempts, attempt{server: "s-a", sent: r.came})
+	tr.attempt(r.came+6*time.Millisecond, r, 1, result{code: policy.OK, report: []float64{0.25, 7}})
 	tr.answered(r.came+4*time.Millisecond, r, answer{status: http.StatusOK}, "")
 	if log.Len() > 0 {
 		t.Errorf("a served request is logged: %s", log)
 	}
 	tr.summary(2, "state")
-	for _, want := range []string{"served=1", `refused="map[no server has room:1]"`, `attempts="map[connect failed:1]"`, "opened=1"} {
+	for _, want := range []string{"served=1", `refused="map[no server has room:1]"`, `attempts="map[connect failed:1 ok:1]"`, "opened=1",
+		`servers="s-a=2/1/6ms[0.25 7]"`} {
 		if !strings.Contains(log.String(), want) {
 			t.Errorf("the summary lacks %q:\n%s", want, log)
 		}
