Budget cold servers by what reports say warm ones serve, and try them first

Counted over all logs, by the summaries' new line for each server (1 s apart for this): from 12 to 24 s the new servers got 0 to 4 requests in a second from all 80 nodes together and report util 0.00 to 0.10 ten seconds after their start, while the 24 old ones report 0.95 to 1.0 and fell behind for good. Expected by the rule: 10 a second and more. Ruled out: the list (told within a second), ejections (none out), connections (none refused), errors.

At fault, in coldRoom() and pick(): a node's part of a cold server's budget was made from its own mean rate of answers per server, which sinks as soon as the fleet falls behind, just when the new servers are needed; and the walks of a few nodes only come past a given server before they find room, so the parts of all the others were never spent. Now the rate that a cold server is held against is what load reports say of warm servers of its kind, for all nodes, and each node tries cold servers that have room in their budget before its walk. The sum over all nodes stays the lower bound of the ramp times 0.7 of the multiple beyond one, as before. Without reports the old estimate holds.

--- a/policy/api.go
+++ b/policy/api.go
@@ -110,7 +110,7 @@
 	Subscribe   bool // the list of servers must be asked for
 	WarmKeys    bool // a server that lately served a key serves it with less work
 	WorthByWork bool // worth is counted for each unit of work, not for each request
-	// Report names the values in load reports, in order. No decision reads them.
+	// Report names the values in load reports, in order.
 	Report []string
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,6 +22,7 @@
 		set: set, now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))),
 		classes: make(map[string]*class), tenants: make(map[string]Limit),
 		buckets: make(map[bucketKey]*bucket), pace: 1, trust: 1, blame: 1,
+		rates:   make(map[string]float64),
 		servers: make(map[string]*server), reqs: make(map[string]*request), budget: defaultBudget,
 	}
 	if set.Rules.Attempts != nil {
@@ -256,14 +257,20 @@
 // than its threshold, else the least busy; nil where none may be used. Room is also reported where
 // the least busy was never cut: what it takes is not known yet.
 func (b *Balancer) pick(r *request) (s *server, room bool) {
-	if b.crowded() {
-		return nil, false
-	}
 	for _, s := range b.homes(r) {
 		if s != nil && b.usable(r, s) && b.hasRoom(s) {
 			return s, true
 		}
 	}
+	// Few of many walks reach a cold server, but all nodes have a part in its budget.
+	for _, s := range r.class.open.order {
+		if b.ramp(s) < 1 && b.usable(r, s) && b.hasRoom(s) {
+			return s, true
+		}
+	}
+	if b.crowded() {
+		return nil, false
+	}
 	var least *server
 	for _, s := range r.class.open.order {
 		if !b.usable(r, s) {
@@ -742,6 +749,7 @@
 	a.server.use(b.now)
 	a.server.inflight--
 	a.server.haunt(r, a, e.Code)
+	b.report(a.server, e.Report)
 	r.settle()
 	b.observe(r, a, e)
 	switch {
@@ -921,6 +929,7 @@
 const (
 	coldMargin = 0.7 // of the multiple beyond one: that one is left to chance, heavy work and unequal servers
 	coldFloor  = 1.0 // requests a second by all nodes to a cold server when nothing is known yet
+	rateGain   = 0.1 // weight of one report in what a kind of server takes
 )
 
 // ramp is the part of its capacity that s has at least, or 1 once it is warm.
@@ -933,14 +942,29 @@
 	return share + (1-share)*max(0, age.Seconds())/b.set.Rules.ColdFor.Seconds()
 }
 
-// coldRoom guards the fourth rule. This node's mean rate per server, summed over the nodes, is
-// what a warm server takes; a cold one may get its present part of that, and no more.
+// report follows what a warm server of each kind serves for all nodes, as its load reports tell.
+func (b *Balancer) report(s *server, figures []float64) {
+	if i := slices.Index(b.set.Report, "qps"); i >= 0 && i < len(figures) && b.ramp(s) >= 1 {
+		rate, ok := b.rates[s.Kind]
+		if !ok {
+			rate = figures[i]
+		}
+		b.rates[s.Kind] = rate + rateGain*(figures[i]-rate)
+	}
+}
+
+// coldRoom guards the fourth rule. A cold server may get its present part of what a warm one of its kind
+// takes, and no more. Without reports, this node's mean rate per server, summed over the nodes, stands
+// for that.
 func (b *Balancer) coldRoom(s *server) bool {
 	part := b.ramp(s)
 	if part >= 1 {
 		return true
 	}
 	mean := b.doneRate() / float64(max(1, len(b.order)))
+	if rate, ok := b.rates[s.Kind]; ok {
+		mean = rate / float64(b.set.Nodes)
+	}
 	mean = max(mean, coldFloor/float64(b.set.Nodes))
 	rate := coldMargin * max(0.5, b.set.Rules.FallMultiple-1) * part * mean
 	k := &s.cold
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -437,7 +437,7 @@
 func TestManyNodesKeepToTheirEvenPart(t *testing.T) {
 	cold := members(60)
 	for i := range 30 {
-		cold[2*i].OnlineSince = 24*time.Hour - ms
+		cold[2*i].OnlineSince = ms
 	}
 	for name, c := range map[string]struct {
 		list []Member
@@ -445,7 +445,7 @@
 	}{"all": {members(60), 9}, "a third": {members(20), 3}, "half cold": {cold, 6}} { // 5.4 of 2 * 6 * 60 / 80
 		b, sends := fleet(t, c.list), 0
 		for i := range 60 {
-			sends += len(of(b.Handle(24*time.Hour, ask(fmt.Sprint(i), "free")), Send))
+			sends += len(of(b.Handle(2*ms, ask(fmt.Sprint(i), "free")), Send))
 		}
 		if sends != c.want {
 			t.Errorf("%s: %d attempts are out, want %d", name, sends, c.want)
@@ -453,6 +453,35 @@
 	}
 }
 
+// A cold server has its budget from all nodes: each spends its part, wherever its own walk begins, and by
+// what reports say warm servers of that kind serve, however little this node was answered lately.
+func TestColdServersGetTheirPartFromAllNodes(t *testing.T) {
+	list := members(60)
+	b := fleet(t, list)
+	b.set.Report = []string{"util", "qps"}
+	last := b.order[59].Member
+	last.OnlineSince = time.Second
+	b.Handle(time.Second, MemberList{Kind: ListUpdate, Members: []Member{last}})
+	cold := b.servers[last.Server]
+	warm := b.order[0]
+	for warm.Kind != cold.Kind {
+		warm = b.order[slices.Index(b.order, warm)+1]
+	}
+	b.report(warm, []float64{0.9, 400})
+	b.report(cold, []float64{0.9, 1}) // tells nothing of what it will take once it is warm
+	cold.cold = coldBudget{last: b.now}
+	b.Handle(time.Second+500*ms, ask("early", "free")) // half a second at 1.4 * 0.24 * 400 / 80
+	if cold.inflight != 0 {
+		t.Error("the cold server got something before this node's part was due")
+	}
+	if got := sentTo(t, b.Handle(time.Second+700*ms, ask("due", "free"))); got != cold.Server {
+		t.Errorf("sent to %s, want the cold %s", got, cold.Server)
+	}
+	if got := sentTo(t, b.Handle(time.Second+710*ms, ask("next", "free"))); got == cold.Server {
+		t.Error("the cold server got twice this node's part")
+	}
+}
+
 // Servers that other nodes mostly use are learned of together: a node sees too little of each.
 func TestTrustInOthersIsLearnedTogether(t *testing.T) {
 	set := site(12)
--- a/policy/state.go
+++ b/policy/state.go
@@ -41,7 +41,8 @@
 	extra    []Time     // attempts beyond a request's first in it
 	done     float64    // answers a second, as of doneAt
 	doneAt   Time
-	silent   [6]float64 // part of sends unanswered, by how long the connection was idle, in octaves
+	rates    map[string]float64 // requests a second that warm servers of each kind serve, by their reports
+	silent   [6]float64         // part of sends unanswered, by how long the connection was idle, in octaves
 }
 
 // pool is a set of servers in packing order.
