Let each of many nodes have less out the busier the servers report to be

Counted over all logs, a line for each server and second: at 10 to 12 s the old servers report util 0.95 to 1.0 with 11 to 21 attempts out each, on 5 to 7 cores; all thresholds of all nodes together still stand at 70 to 85 for each of them. A node meets a server once in a second or two, and its answers tell it of the queue only after they waited in it. Load reports tell it with any answer.

At fault: crowded() in policy.go, whose bound was twice what the servers take at once, however busy they are. The part above that now shrinks with the mean of the reported util, from 0.7 to 0.95. The thresholds, outcomes and their figures are as they were; with few nodes nothing changes.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -247,6 +247,9 @@
 	lostMost          = 0.1           // part of the other answers that may time out there
 	fullGain, badGain = 0.02, 0.01    // weight of one answer in these parts, and in that of bad answers
 	stallTimes        = 5.0           // mean gaps between its answers from which a silent server is stalled
+	busyGain          = 0.05          // weight of one report in how busy the servers are
+	busyFrom          = 0.7           // part of the servers' cores in use from which a node keeps to less,
+	busyFull          = 0.95          // down to no more than the servers take at once
 	crowdLimit        = 2.0           // times its limit, the least busy is filled; more would only be late
 	slowPart          = 0.4           // part of the aim from which an answer tells of a crowd; later, queues jam
 	keyHomes          = 3             // servers that keep a key warm in each zone
@@ -332,11 +335,15 @@
 	}
 }
 
-// crowded tells whether this node has its even part of what all nodes may have out together. Where nodes
-// outnumber the attempts that a server takes, a threshold of one each is no bound: those whose walks reach
-// a server fill it by far, long before the outcomes tell any of them.
+// many tells whether nodes outnumber the attempts that a server takes.
+func (b *Balancer) many() bool { return !b.set.WarmKeys && float64(b.set.Nodes) > startFew }
+
+// crowded tells whether this node has its even part of what all nodes may have out together. For many, a
+// threshold of one each is no bound: those whose walks reach a server fill it by far, long before the
+// outcomes tell any of them. While servers have spare cores, the part is crowdLimit times what they take
+// at once, so that chance at one node refuses nothing.
 func (b *Balancer) crowded() bool {
-	if b.set.WarmKeys || float64(b.set.Nodes) <= startFew {
+	if !b.many() {
 		return false
 	}
 	out, warm := 0, 0.0
@@ -344,7 +351,8 @@
 		out += b.holds(s)
 		warm += b.ramp(s)
 	}
-	return float64(out) >= max(1, crowdLimit*startFew*warm/float64(b.set.Nodes))
+	spare := min(1, max(0, (busyFull-b.busy)/(busyFull-busyFrom)))
+	return float64(out) >= max(1, (1+spare*(crowdLimit-1))*startFew*warm/float64(b.set.Nodes))
 }
 
 // crowding sets attempts in flight against what s was seen to take, lest one that others fill look idle.
@@ -944,7 +952,13 @@
 
 // report follows what a warm server of each kind serves for all nodes, as its load reports tell.
 func (b *Balancer) report(s *server, figures []float64) {
-	if i := slices.Index(b.set.Report, "qps"); i >= 0 && i < len(figures) && b.ramp(s) >= 1 {
+	if b.ramp(s) < 1 {
+		return
+	}
+	if i := slices.Index(b.set.Report, "util"); i >= 0 && i < len(figures) {
+		b.busy += busyGain * (figures[i] - b.busy)
+	}
+	if i := slices.Index(b.set.Report, "qps"); i >= 0 && i < len(figures) {
 		rate, ok := b.rates[s.Kind]
 		if !ok {
 			rate = figures[i]
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -453,6 +453,23 @@
 	}
 }
 
+// The busier the servers say they are, the less each of many nodes has out, down to what they take at once.
+func TestManyNodesKeepToLessWhenServersAreBusy(t *testing.T) {
+	for util, want := range map[float64]int{0.3: 9, 0.83: 7, 1: 5} { // 4.5 each is what all servers take at once
+		b, sends := fleet(t, members(60)), 0
+		b.set.Report = []string{"latency_ms", "util"}
+		for range 200 {
+			b.report(b.order[0], []float64{100, util})
+		}
+		for i := range 60 {
+			sends += len(of(b.Handle(ms, ask(fmt.Sprint(i), "free")), Send))
+		}
+		if sends != want {
+			t.Errorf("servers use %v of their cores: %d attempts are out, want %d", util, sends, want)
+		}
+	}
+}
+
 // A cold server has its budget from all nodes: each spends its part, wherever its own walk begins, and by
 // what reports say warm servers of that kind serve, however little this node was answered lately.
 func TestColdServersGetTheirPartFromAllNodes(t *testing.T) {
