Keep the bucket rates of many nodes from falling under the shares

Counted over all logs, second by second: the mean pace falls from 1.1 to 0.35 between 8 and 13 s, rightly or not, and is back at 0.63 only at 24 s; buckets refuse 1,100 to 2,200 requests a second all that time, "no server has room" under 30. Each admitted request moves the pace by 2 %. A node of 80 admits 10 a second, not 130, and with a bound of 4 or 5 attempts it is full by chance a third of the time: cuts outweigh what shows that there is room.

At fault: follow() in policy.go. Where nodes are many, the bound on what each has out sheds by what the servers report, so the pace no longer falls under the shares there. With few nodes it does as before.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -217,7 +217,11 @@
 	switch {
 	case !room && b.pace <= 1 && b.shedEarly():
 	case !room:
-		b.pace = max(paceLeast, b.pace*(1-paceCut))
+		least := paceLeast
+		if b.many() { // one node is full by chance time and again, and sees too little to raise its rates in time
+			least = 1
+		}
+		b.pace = max(least, b.pace*(1-paceCut))
 	case b.pace > paceShare && b.bad > paceBad:
 		b.pace *= 1 - paceCut
 	case b.refused && (b.pace < paceShare || b.bad < paceBad): // only a rate that was felt is raised
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -470,6 +470,20 @@
 	}
 }
 
+// Of many nodes, one is full by chance time and again: its bucket rates stay at the shares, and the bound on
+// what it has out sheds the rest. With few nodes they fall, for nothing else sheds.
+func TestRatesOfManyNodesStayAtTheShares(t *testing.T) {
+	for nodes, want := range map[int]float64{2: paceLeast, 80: 1} {
+		b := start(t, site(nodes), members(12))
+		for range 500 {
+			b.follow(false)
+		}
+		if b.pace != want {
+			t.Errorf("%d nodes without room: pace %v, want %v", nodes, b.pace, want)
+		}
+	}
+}
+
 // A cold server has its budget from all nodes: each spends its part, wherever its own walk begins, and by
 // what reports say warm servers of that kind serve, however little this node was answered lately.
 func TestColdServersGetTheirPartFromAllNodes(t *testing.T) {
