Leave cold servers out of the bound on what each of many nodes has out

Counted over all logs, second by second, old and new servers apart: from 13 to 17 s 550 to 790 requests are held while the 24 old servers report util of 0.69 to 0.76 in the mean, with 111 to 150 attempts out on 150 cores; the 36 cold ones have 150 to 160 out, for each takes 290 to 350 ms. Ruled out: the pace (1.0), ejections, the reported business (0.75, which leaves the bound at 1.8 times).

At fault: crowded() in policy.go weighed a cold server by its ramp, but counted all that was out there. Cold servers are slow and keep what they have for long, so they used up what the warm ones should have had. They have a budget of their own; the bound is now of warm servers alone.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -346,15 +346,18 @@
 // crowded tells whether this node has its even part of what all nodes may have out together. For many, a
 // threshold of one each is no bound: those whose walks reach a server fill it by far, long before the
 // outcomes tell any of them. While servers have spare cores, the part is crowdLimit times what they take
-// at once, so that chance at one node refuses nothing.
+// at once, so that chance at one node refuses nothing. Cold servers have a budget of their own, and keep
+// what they have for long.
 func (b *Balancer) crowded() bool {
 	if !b.many() {
 		return false
 	}
 	out, warm := 0, 0.0
 	for _, s := range b.order {
-		out += b.holds(s)
-		warm += b.ramp(s)
+		if b.ramp(s) >= 1 {
+			out += b.holds(s)
+			warm++
+		}
 	}
 	spare := min(1, max(0, (busyFull-b.busy)/(busyFull-busyFrom)))
 	return float64(out) >= max(1, (1+spare*(crowdLimit-1))*startFew*warm/float64(b.set.Nodes))
