Spread many nodes' calls for the list, and back off when they fail

Counted over all logs, by half seconds: 48 of the 80 first calls fail together at 2 s, all having started at 0; those are repeated within 2 s of each other, 48 fail again from 4.5 to 7 s; after 56 nodes were killed at 11.75 s 29 fail together at 15 s. Discovery serves some 16 calls a second; a third of the nodes knew only their old list for 7 s and more. Ruled out: the watches that go on after an answer (no failure when the list changes, from 10 to 20 s), and the network code, which makes one call for each that the module asks for.

At fault: onList() in policy.go. Every node asked at its very start, and a failed call was repeated after 1 to 3 s however often it had failed. Now many nodes spread their first calls over 50 ms for each of them, by the given seed, and the mean wait after failures doubles up to 8 s, spread by half of it either way.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -998,19 +998,35 @@
 
 // ---- List: following the servers ----
 
-// askAgain is the mean wait before a failed call for the list is repeated, spread among nodes.
-const askAgain = 2 * time.Second
+const (
+	askAgain = 2 * time.Second       // mean wait before a failed call for the list, doubled each time,
+	askMost  = 8 * time.Second       // up to this
+	askApart = 50 * time.Millisecond // mean time between two nodes' first calls: all may start at once
+)
 
 func (b *Balancer) askList() { b.do(Action{Kind: WatchList, On: true}) }
 
+// askLater asks for the list at a random time in the given span from now, so that nodes don't ask in step:
+// discovery serves few calls at a time, and those that wait too long fail and come again.
+func (b *Balancer) askLater(from, span time.Duration) {
+	b.do(Action{Kind: SetTimer, Wait: from + time.Duration(b.rng.Float64()*float64(span)), Token: listToken})
+}
+
 func (b *Balancer) onList(e MemberList) {
 	switch {
 	case e.Kind == ListUnavailable:
-		wait := time.Duration((0.5 + b.rng.Float64()) * float64(askAgain))
-		b.do(Action{Kind: SetTimer, Wait: wait, Token: listToken})
+		mean := min(askMost, askAgain<<min(b.unheard, 8))
+		b.unheard++
+		b.askLater(mean/2, mean)
 		return
 	case e.Kind == ListRestored && b.set.Subscribe:
-		b.askList()
+		if b.set.Nodes <= manyNodes {
+			b.askList()
+		} else {
+			b.askLater(0, min(askMost, time.Duration(b.set.Nodes)*askApart))
+		}
+	case e.Kind != ListRestored:
+		b.unheard = 0
 	}
 	if e.Kind != ListUpdate { // what a full list lacks is gone
 		old := b.servers
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -765,31 +765,39 @@
 	}
 }
 
-// A failed call for the list, or a lost subscription, is repeated soon enough to count as asking, and not
-// by all nodes at once.
-func TestFailedListCallsAreRepeatedApart(t *testing.T) {
-	waits := map[time.Duration]bool{}
-	for n := range 8 {
-		set := site(8)
+// Nodes that start together don't all ask for the list at once, and a failed call, or a lost subscription,
+// is repeated soon enough to count as asking, later after each failure, and not by all nodes at once.
+func TestListCallsAreApart(t *testing.T) {
+	firsts, agains := make([]int, 8), map[time.Duration]bool{} // first calls of each half second
+	for n := range 80 {
+		set := site(80)
 		set.Node, set.Subscribe = n, true
 		b, err := New(set, 0, 7)
 		if err != nil {
 			t.Fatal(err)
 		}
-		if len(of(b.Handle(0, MemberList{Kind: ListRestored}), WatchList)) != 1 {
-			t.Fatal("no subscription at the start")
-		}
-		timers := of(b.Handle(ms, MemberList{Kind: ListUnavailable}), SetTimer)
-		if len(timers) != 1 || timers[0].Wait < askAgain/2 || timers[0].Wait > askAgain*3/2 {
-			t.Fatalf("after a failed call: %+v", timers)
+		wait := func(kind ListKind, least, most time.Duration) time.Duration {
+			timers := of(b.Handle(b.now, MemberList{Kind: kind}), SetTimer)
+			if len(timers) != 1 || timers[0].Wait < least || timers[0].Wait > most {
+				t.Fatalf("after %v: %+v, want a call from %v to %v", kind, timers, least, most)
+			}
+			if len(of(b.Handle(b.now+timers[0].Wait, Timer{Token: timers[0].Token}), WatchList)) != 1 {
+				t.Fatal("the list is not asked for")
+			}
+			return timers[0].Wait
 		}
-		waits[timers[0].Wait] = true
-		if len(of(b.Handle(time.Second, Timer{Token: timers[0].Token}), WatchList)) != 1 {
-			t.Error("not asked again")
+		firsts[int(wait(ListRestored, 0, 80*askApart)/(500*ms))]++
+		for _, mean := range []time.Duration{askAgain, 2 * askAgain, askMost, askMost} {
+			agains[wait(ListUnavailable, mean/2, mean*3/2)] = true
 		}
+		b.Handle(b.now, MemberList{Kind: ListReplace})
+		wait(ListUnavailable, askAgain/2, askAgain*3/2)
+	}
+	if most := slices.Max(firsts); most > 20 {
+		t.Errorf("first calls in half seconds: %v, want at most 20 in each", firsts)
 	}
-	if len(waits) < 8 {
-		t.Errorf("8 nodes wait only %d different times", len(waits))
+	if len(agains) != 4*80 {
+		t.Errorf("80 nodes repeat four calls after only %d different waits", len(agains))
 	}
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -42,6 +42,7 @@
 	done     float64    // answers a second, as of doneAt
 	doneAt   Time
 	rates    map[string]float64 // requests a second that warm servers of each kind serve, by their reports
+	unheard  int                // calls for the list that failed in a row
 	busy     float64            // part of their cores that servers use lately, by their reports
 	silent   [6]float64         // part of sends unanswered, by how long the connection was idle, in octaves
 }
