Queue new requests with the held ones, so that room goes to those worth most

At fault: onRequest() in policy.go. Now it queues with them, if there are any, and they are tried at once in their order.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -180,6 +180,11 @@
 		b.refuse(r, wait, "bucket")
 		return
 	}
+	if len(b.held) > 0 { // what room there is goes to those worth most; the newest of them tells nothing of it
+		b.hold(r)
+		b.release()
+		return
+	}
 	b.dispatch(r)
 }
 
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -512,6 +512,23 @@
 	}
 }
 
+// A new request doesn't take the room that a held one of more worth waits for.
+func TestNewRequestsQueueByWorth(t *testing.T) {
+	set := site(1)
+	set.Tenants, set.Classes[1].Worth = nil, 5
+	b := start(t, set, members(1))
+	last := ""
+	for i := 0; len(b.held) == 0; i++ {
+		last = fmt.Sprint(i)
+		b.Handle(ms, ask(last, "once"))
+	}
+	b.Handle(2*ms, outcome("0", 0, "s00", OK, ms))
+	acts := of(b.Handle(3*ms, ask("new", "free")), Send)
+	if len(acts) != 1 || acts[0].ID != last {
+		t.Errorf("sent %+v, want %s, which is worth more", acts, last)
+	}
+}
+
 // A cold server has its budget from all nodes: each spends its part, wherever its own walk begins, and by
 // what reports say warm servers of that kind serve, however little this node was answered lately.
 func TestColdServersGetTheirPartFromAllNodes(t *testing.T) {
