Give a cold server no more than its own reports say it takes

Ruled out: trials (gated by the same budget) and nodes beyond their parts (none).

At fault: coldRoom() in policy.go, which went by age and kind alone. Served requests a second over the part of the cores in use, from half of them on, tell what a server takes by now; it gets 0.9 of that at most.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -951,6 +951,8 @@
 const (
 	coldMargin = 0.7 // of the multiple beyond one: that one is left to chance, heavy work and unequal servers
 	coldFloor  = 1.0 // requests a second by all nodes to a cold server when nothing is known yet
+	coldTells  = 0.5 // part of its cores in use from which a report tells what a cold server takes by now,
+	coldUse    = 0.9 // and the part of that it gets at most
 	rateGain   = 0.1 // weight of one report in what a kind of server takes
 )
 
@@ -967,6 +969,10 @@
 // report follows what a warm server of each kind serves for all nodes, as its load reports tell.
 func (b *Balancer) report(s *server, figures []float64) {
 	if b.ramp(s) < 1 {
+		i, j := slices.Index(b.set.Report, "util"), slices.Index(b.set.Report, "qps")
+		if i >= 0 && j >= 0 && max(i, j) < len(figures) && figures[i] >= coldTells {
+			s.takes = figures[j] / figures[i]
+		}
 		return
 	}
 	if i := slices.Index(b.set.Report, "util"); i >= 0 && i < len(figures) {
@@ -995,6 +1001,9 @@
 	}
 	mean = max(mean, coldFloor/float64(b.set.Nodes))
 	rate := coldMargin * max(0.5, b.set.Rules.FallMultiple-1) * part * mean
+	if s.takes > 0 {
+		rate = min(rate, coldUse*s.takes/float64(b.set.Nodes))
+	}
 	k := &s.cold
 	most := max(1, rate*b.set.Rules.FallFor.Seconds()/4)
 	k.tokens, k.last = min(most, k.tokens+rate*(b.now-k.last).Seconds()), b.now
--- a/policy/state.go
+++ b/policy/state.go
@@ -77,6 +77,7 @@
 	felt      bool    // the threshold was cut at least once
 	used      []Time  // when so many connections were last in use
 	lastSend  Time
+	takes     float64 // requests a second that it takes while cold, by its last report; 0 if not known
 	lastDone  Time    // when it last answered anything
 	busyFrom  Time    // since when attempts have been out all the time
 	latency   float64 // mean latency of its answers, in seconds
