Open a door for operators and let them drain a node

Design: one lifecycle (starting, active, standby, leaving, closing) owns readiness and when clients' connections end. The door is an http.Server of its own with time limits, reserved descriptors and one call a connection, and reads atomics only; whoever holds one of its connections longest makes room for the next caller.

Not taken: calls on the clients' listener by path, for a crowd of clients or a busy loop would keep operators out; http.Server.Shutdown for the end, for it closes idle connections whose next request has come and not been read, and it can't be taken back.

The tests fail without the change: there is no door, and with the old Read a request could be closed on.

--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -40,15 +40,21 @@
 	runtime.GOMAXPROCS(int(max(1, math.Ceil(c.Cores))))
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
-	listener, err := net.Listen("tcp", c.Listen)
-	if err != nil {
+	var doors node.Doors
+	if doors.Clients, err = net.Listen("tcp", c.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
-	slog.Info("listening", "name", c.Name, "address", listener.Addr(), "servers", len(c.Known.Members))
+	if c.Operator != "" {
+		if doors.Operators, err = net.Listen("tcp", c.Operator); err != nil {
+			return fmt.Errorf("operator: %w", err)
+		}
+		slog.Info("listening to operators", "address", doors.Operators.Addr())
+	}
+	slog.Info("listening", "name", c.Name, "address", doors.Clients.Addr(), "servers", len(c.Known.Members))
 	moves, done := make(chan string, 1), make(chan struct{})
 	defer close(done)
 	go reload(hup, moves, done)
-	return node.Run(ctx, c, listener, moves)
+	return node.Run(ctx, c, doors, moves)
 }
 
 // reload reads the configuration again at each SIGHUP until done; the newest address stands in moves.
--- a/cmd/wayhold/main_test.go
+++ b/cmd/wayhold/main_test.go
@@ -7,6 +7,7 @@
 	"net/http/httptest"
 	"os"
 	"path/filepath"
+	"strings"
 	"syscall"
 	"testing"
 	"time"
@@ -102,3 +103,25 @@
 	default:
 	}
 }
+
+// An address for operators that can't be used ends the start with one line.
+func TestUnusableOperatorAddress(t *testing.T) {
+	taken, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer taken.Close()
+	for addr, want := range map[string]string{taken.Addr().String(): "operator: ", "nowhere": "configuration: operator: "} {
+		path := filepath.Join(t.TempDir(), "config.json")
+		text := fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","operator":%q,"seed":"1",
+			"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"revision":1,"complete":true,"members":[]},
+			"settings":{"position":0,"groupSize":1,"services":[{"name":"x","deadline":600,"repeat":"free"}]}}`, addr)
+		if err := os.WriteFile(path, []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		t.Setenv("ROUTER_CONFIG", path)
+		if err := run(); err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: %v, want one line that begins with %q", addr, err, want)
+		}
+	}
+}
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -19,7 +19,8 @@
 // Config is all that a node is told at its start.
 type Config struct {
 	Name      string
-	Listen    string // the only address to listen on
+	Listen    string // the only address that clients come to
+	Operator  string // where operators come; empty: nowhere
 	Discovery string
 	Seed      uint64
 	Cores     float64
@@ -48,6 +49,7 @@
 	}
 	for name, field := range map[string]*string{
 		"ROUTER_NAME": &c.Name, "ROUTER_LISTEN": &c.Listen, "ROUTER_DISCOVERY": &c.Discovery,
+		"ROUTER_OPERATOR": &c.Operator,
 	} {
 		if v := getenv(name); v != "" {
 			*field = v
@@ -59,6 +61,12 @@
 	if err := checkAddress(c.Discovery); err != nil {
 		return Config{}, fmt.Errorf("configuration: discovery: %w", err)
 	}
+	if c.Operator == "" {
+		return c, nil
+	}
+	if err := checkAddress(c.Operator); err != nil {
+		return Config{}, fmt.Errorf("configuration: operator: %w", err)
+	}
 	return c, nil
 }
 
@@ -96,6 +104,7 @@
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
 		Discovery string `json:"discovery"`
+		Operator  string `json:"operator"`
 		Seed      string `json:"seed"`
 		Limits    struct {
 			Cores    float64 `json:"cores"`
@@ -120,7 +129,7 @@
 	case l.Sockets < leastSockets:
 		return Config{}, fmt.Errorf("limits.sockets: want %d or more, got %d", leastSockets, l.Sockets)
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Seed: seed,
+	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Operator: f.Operator, Seed: seed,
 		Cores: f.Limits.Cores, MemoryMB: int64(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
 	for name, field := range map[string]json.RawMessage{"known": f.Known, "settings": f.Settings} {
 		if len(field) == 0 {
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -19,7 +19,8 @@
 		t.Fatal(err)
 	}
 	return func(name string) string {
-		return map[string]string{"ROUTER_CONFIG": path, "ROUTER_LISTEN": "127.0.0.1:1"}[name]
+		return map[string]string{"ROUTER_CONFIG": path, "ROUTER_LISTEN": "127.0.0.1:1",
+			"ROUTER_OPERATOR": "127.0.0.1:2"}[name]
 	}
 }
 
@@ -28,7 +29,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if c.Name != "n3" || c.Listen != "127.0.0.1:1" || c.Discovery != "127.0.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 ||
+	if c.Name != "n3" || c.Listen != "127.0.0.1:1" || c.Operator != "127.0.0.1:2" || c.Discovery != "127.0.0.1:8500" || c.Seed != 0x8c1f30d27a5be964 ||
 		c.MemoryMB != 192 || c.Sockets != 1024 || c.MaxOpen != 100 || c.ConnectTimeout != 2*time.Second ||
 		len(c.Known.Members) != 1 || c.Known.Revision != 7 || c.Settings.Zone != "a" {
 		t.Errorf("got %+v", c)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -2,7 +2,6 @@
 
 import (
 	"context"
-	"errors"
 	"fmt"
 	"log/slog"
 	"net"
@@ -15,15 +14,26 @@
 	clientsPart  = 0.4                    // of the others for clients: the third that their requests take, and some room
 	longestDrain = 3 * time.Second        // no client waits longer once a node is told to stop
 	leavingPart  = 0.6                    // of that, in which the node still takes in what comes
+	lookEvery    = 10 * time.Millisecond  // for whether clients are left
 	lastAnswers  = 100 * time.Millisecond // for what is failed then to reach its clients
 )
 
-// Run serves clients on the listener until ctx ends. Then it goes on accepting for a moment, answers
-// what it has taken, and returns. Discovery follows the addresses that come from moves.
-func Run(ctx context.Context, c Config, listener net.Listener, moves <-chan string) error {
+// Doors are the listeners that a node is reached by.
+type Doors struct {
+	Clients   net.Listener
+	Operators net.Listener // nil: there is no door for operators
+}
+
+// Run serves clients until ctx ends. Then it goes on accepting for a moment, answers what it has taken,
+// and returns. Discovery follows the addresses that come from moves.
+func Run(ctx context.Context, c Config, doors Doors, moves <-chan string) error {
 	ck := clock{start: time.Now()}
-	most := int(clientsPart * float64(c.Sockets-ownSockets))
-	up := newUpstream(c, c.Sockets-ownSockets-most)
+	own := ownSockets
+	if doors.Operators != nil {
+		own += doorSockets
+	}
+	most := int(clientsPart * float64(c.Sockets-own))
+	up := newUpstream(c, c.Sockets-own-most)
 	defer up.close()
 	for _, class := range c.Settings.Classes {
 		slog.Info("class", "name", class.Name, "aim", class.Aim, "deadline", class.Deadline)
@@ -39,6 +49,12 @@
 		return err
 	}
 	s := newServer(c, l)
+	clients := newClients(doors.Clients, most)
+	s.life.closeQuiet = clients.closeQuiet
+	defer s.life.end()
+	if doors.Operators != nil { // before all else, so that operators can ask how the start goes
+		defer openDoor(doors.Operators, c.Name, &s.life).close()
+	}
 	s.http.ErrorLog = slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
 
 	running, stop := context.WithCancel(context.Background())
@@ -58,36 +74,57 @@
 		}
 	})
 
+	<-l.ready
+	s.life.load()
 	failed := make(chan error, 1)
-	parts.Go(func() { failed <- s.http.Serve(newClients(listener, most)) })
+	parts.Go(func() { failed <- s.http.Serve(clients) })
 	select {
 	case err := <-failed:
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
-	return s.drain(c)
+	s.drain(c, clients)
+	return nil
 }
 
 // drain ends the service. Clients go on coming for a while, and go on using the connections that they
 // have: there may be no other node for them yet. So the node serves as before at first, and says only
 // that it isn't ready; then it ends each connection with its answer, early enough for what it took last.
-func (s *server) drain(c Config) error {
-	slog.Info("stopping")
+func (s *server) drain(c Config, clients *clients) {
 	var longest time.Duration
 	for _, class := range c.Settings.Classes {
 		longest = max(longest, class.Deadline)
 	}
 	longest = min(longest, longestDrain)
 	leave := time.Duration(leavingPart * float64(longest))
-	s.phase.Store(leaving)
-	time.Sleep(leave)
-	s.phase.Store(closing)
-	late := time.AfterFunc(longest-leave, func() { s.loop.send(finish{}) })
+	slog.Info("stopping", "serves_on", leave, "at_most", longest)
+	late := time.NewTimer(longest)
 	defer late.Stop()
-	ctx, cancel := context.WithTimeout(context.Background(), longest-leave+lastAnswers)
-	defer cancel()
-	if err := s.http.Shutdown(ctx); err != nil && !errors.Is(err, context.DeadlineExceeded) {
-		return err
+	s.life.leave(leave)
+	time.Sleep(leave)
+	s.life.close()
+	clients.Close()
+	if s.emptied(clients, late.C) {
+		return
+	}
+	s.loop.send(finish{}) // fails what is still open
+	late.Reset(lastAnswers)
+	if !s.emptied(clients, late.C) {
+		slog.Warn("stopped with clients left", "connections", clients.left())
+		s.http.Close()
+	}
+}
+
+// emptied waits until no client is left, and reports false if it grew late first.
+func (s *server) emptied(clients *clients, late <-chan time.Time) bool {
+	look := time.NewTicker(lookEvery)
+	defer look.Stop()
+	for clients.left() > 0 {
+		select {
+		case <-look.C:
+		case <-late:
+			return false
+		}
 	}
-	return s.http.Close()
+	return true
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -6,9 +6,10 @@
 	"net"
 	"net/http"
 	"net/url"
+	"os"
 	"strconv"
 	"sync"
-	"sync/atomic"
+	"syscall"
 	"time"
 
 	"cobaltward/policy"
@@ -21,6 +22,7 @@
 	headerTimeout = 2500 * time.Millisecond // for a request's head, and the same again for its body
 	clientIdle    = 15 * time.Second        // without a request; under pressure it is less
 	writeTimeout  = 5 * time.Second         // for an answer to a client that doesn't read
+	quietFor      = 200 * time.Millisecond  // without a request, until a client that is sent away is closed
 	lingerFor     = 500 * time.Millisecond  // for the body of a request that was refused unread
 	readyPath     = "/health/ready"
 )
@@ -51,17 +53,10 @@
 type server struct {
 	loop    *loop
 	classes map[string]policy.Class
-	phase   atomic.Int32 // of the end: serving, leaving or closing
+	life    lifecycle
 	http    http.Server
 }
 
-// The phases of a node's end.
-const (
-	serving int32 = iota
-	leaving       // new clients should go elsewhere; those that are here are still served
-	closing       // answers end their connections
-)
-
 func newServer(c Config, l *loop) *server {
 	s := &server{loop: l, classes: make(map[string]policy.Class)}
 	for _, class := range c.Settings.Classes {
@@ -87,9 +82,6 @@
 		reject(w, http.StatusBadRequest, "want version 1.1, and Content-Length for a body")
 		return
 	}
-	if s.phase.Load() == closing {
-		w.Header().Set("Connection", "close")
-	}
 	if r.URL.Path == readyPath && r.Method == http.MethodGet {
 		if r.ContentLength != 0 { // net/http would wait for it, with no end
 			reject(w, http.StatusBadRequest, "no body is wanted here")
@@ -106,6 +98,9 @@
 	s.loop.send(arrival{x})
 	select {
 	case a := <-x.reply:
+		if s.life.endsConnections() { // said as late as can be: clients may have been sent away meanwhile
+			w.Header().Set("Connection", "close")
+		}
 		write(w, a)
 	case <-r.Context().Done():
 		s.loop.send(departure{x})
@@ -125,16 +120,14 @@
 	http.Error(w, problem, status)
 }
 
-// health tells the front that the node may be taken in.
+// health tells the front whether the node may be taken in.
 func (s *server) health(w http.ResponseWriter) {
-	select {
-	case <-s.loop.ready:
-		if s.phase.Load() == serving {
-			return
-		}
-	default:
+	if s.life.endsConnections() {
+		w.Header().Set("Connection", "close")
+	}
+	if !s.life.ready() {
+		w.WriteHeader(http.StatusServiceUnavailable)
 	}
-	w.WriteHeader(http.StatusServiceUnavailable)
 }
 
 // read takes in a whole request, or says what is wrong with it. What it lets through reaches servers.
@@ -239,10 +232,12 @@
 // clientConn is one connection of a client.
 type clientConn struct {
 	*net.TCPConn
+	raw   syscall.RawConn
 	owner *clients
 
 	// Under the owner's mutex.
 	quiet *linked.Element // its place there; nil while a request is in it
+	since time.Time       // when it became quiet
 	gone  bool
 }
 
@@ -258,12 +253,16 @@
 		return nil, err
 	}
 	c := &clientConn{TCPConn: tcp.(*net.TCPConn), owner: l}
+	if c.raw, err = c.TCPConn.SyscallConn(); err != nil {
+		c.TCPConn.Close()
+		return nil, err
+	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	for l.open++; l.open > l.most && !l.evict() && !l.closed; {
 		l.room.Wait() // each has a request in it: one will end
 	}
-	c.quiet = l.quiet.PushBack(c)
+	c.rest()
 	return c, nil
 }
 
@@ -278,37 +277,96 @@
 // evict closes the connection that has been quiet for longest, if there is one.
 func (l *clients) evict() bool {
 	for e := l.quiet.Front(); e != nil; e = e.Next() {
-		// A request may have come that nobody has read yet: one that meets a close has failed.
-		if c := e.Value.(*clientConn); quiet(c.TCPConn) {
-			c.forget()
-			c.TCPConn.Close()
+		if e.Value.(*clientConn).hangUp() {
 			return true
 		}
 	}
 	return false
 }
 
-// Read also notes that a request begins: net/http says so only once it has the whole head.
-func (c *clientConn) Read(p []byte) (int, error) {
-	n, err := c.TCPConn.Read(p)
-	if n > 0 {
-		c.change(http.StateActive)
+// closeQuiet closes the connections that have been without a request for a moment. One that is new, or
+// just had its answer, may be about to bring a request.
+func (l *clients) closeQuiet(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	for e := l.quiet.Front(); e != nil; {
+		c := e.Value.(*clientConn)
+		if now.Sub(c.since) < quietFor {
+			return // the others are quiet for less
+		}
+		e = e.Next()
+		c.hangUp()
 	}
-	return n, err
+	l.room.Signal()
+}
+
+// left is how many connections are open.
+func (l *clients) left() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open
+}
+
+// rest puts a connection in the line of the quiet ones.
+func (c *clientConn) rest() {
+	c.quiet, c.since = c.owner.quiet.PushBack(c), time.Now()
+}
+
+// hangUp closes a quiet connection, unless a request has come that nobody has read yet: one that meets
+// a close is turned back unheard.
+func (c *clientConn) hangUp() bool {
+	if !quiet(c.TCPConn) {
+		return false
+	}
+	c.forget()
+	c.TCPConn.Close()
+	return true
+}
+
+// Read also notes that a request begins: net/http says so only once it has the whole head. Bytes are
+// taken under the owner's mutex, so that none are in nobody's hands when it looks for quiet connections.
+func (c *clientConn) Read(p []byte) (n int, err error) {
+	waited := c.raw.Read(func(fd uintptr) bool {
+		c.owner.mu.Lock()
+		defer c.owner.mu.Unlock()
+		for {
+			n, err = syscall.Read(int(fd), p)
+			if err != syscall.EINTR {
+				break
+			}
+		}
+		if n > 0 {
+			c.become(http.StateActive)
+		}
+		return err != syscall.EAGAIN
+	})
+	switch {
+	case waited != nil:
+		return 0, waited
+	case err != nil:
+		return 0, os.NewSyscallError("read", err)
+	case n == 0 && len(p) > 0:
+		return 0, io.EOF
+	}
+	return n, nil
 }
 
 // change follows the connection's state.
 func (c *clientConn) change(state http.ConnState) {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	c.become(state)
+}
+
+func (c *clientConn) become(state http.ConnState) {
 	l := c.owner
-	l.mu.Lock()
-	defer l.mu.Unlock()
 	switch {
 	case c.gone || state == http.StateNew:
 		return
 	case state == http.StateClosed || state == http.StateHijacked:
 		c.forget()
 	case state == http.StateIdle && c.quiet == nil:
-		c.quiet = l.quiet.PushBack(c)
+		c.rest()
 	case state == http.StateActive && c.quiet != nil:
 		l.quiet.Remove(c.quiet)
 		c.quiet = nil
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -253,10 +253,16 @@
 	})
 	s := newServer(testConfig(t, knownList(addr)), l)
 	node := httpServer(t, s.ServeHTTP)
-	receive(t, "readiness", l.ready)
-	for _, phase := range []int32{serving, leaving, closing} {
-		s.phase.Store(phase)
-		req := clientRequest(t, node, "GET", "read", fmt.Sprint("r", phase), "")
+	s.life.load()
+	defer s.life.end()
+	for _, phase := range []phase{active, leaving, closing} {
+		switch phase {
+		case leaving:
+			s.life.leave(long)
+		case closing:
+			s.life.close()
+		}
+		req := clientRequest(t, node, "GET", "read", fmt.Sprint("r", int(phase)), "")
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
 			t.Fatal(err)
@@ -270,7 +276,7 @@
 			t.Fatal(err)
 		}
 		resp.Body.Close()
-		if ready := resp.StatusCode == 200; ready != (phase == serving) {
+		if ready := resp.StatusCode == 200; ready != (phase == active) {
 			t.Errorf("phase %v: ready %v", phase, ready)
 		}
 	}
