Let a new process take a node over under load

Design: the clients' listener comes from $ROUTER_INHERITED_FD, checked before it is touched, and is closed but never shut down. Both processes hold a lock in $TMPDIR for as long as they live, so a crash or a number used again never makes the dead look alive; the later one has the greater number. Beside its lock each leaves, four times a second, a line with version and checksum and then its list, bucket levels, thresholds, cold budgets and standby. A new process reads that of a living predecessor only; missing, stale or spoilt, it is a plain start. It accepts once its list is in. On SIGTERM the old one looks for a living successor: with one it takes nobody new, ends its connections with their answers, and closes those that are quiet; without one it restarts as planned, as before. While there are two, each keeps to its part of the descriptors, by what the old one says it may have open, and to half of the heap.

--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -41,7 +41,12 @@
 	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
 	defer stop()
 	var doors node.Doors
-	if doors.Clients, err = net.Listen("tcp", c.Listen); err != nil {
+	if text := os.Getenv(inheritedVar); text != "" {
+		if doors.Clients, err = inherit(text); err != nil {
+			return err
+		}
+		c.Handover = os.Getenv("TMPDIR")
+	} else if doors.Clients, err = net.Listen("tcp", c.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	if c.Operator != "" {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -26,7 +26,8 @@
 	Cores     float64
 	MemoryMB  int64
 	Sockets   int
-	Known     list // the servers as this node last had them, perhaps stale
+	Known     list   // the servers as this node last had them, perhaps stale
+	Handover  string // the folder that an old and a new process of this node share; empty: there is none
 	Settings  policy.Settings
 
 	// Figures of the settings that bind the node and not the module.
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -95,8 +95,9 @@
 
 // news is what discovery has to tell the loop.
 type news struct {
-	kind    policy.ListKind
-	members []member
+	kind     policy.ListKind
+	members  []member
+	revision int64
 }
 
 // discovery watches the list of servers from a connection of its own.
@@ -269,9 +270,9 @@
 	d.revision, d.whole = l.Revision, false
 	switch {
 	case l.Complete:
-		d.tell(news{policy.ListReplace, l.Members})
+		d.tell(news{policy.ListReplace, l.Members, l.Revision})
 	case len(l.Members) > 0 || d.subscribe:
-		d.tell(news{policy.ListUpdate, l.Members})
+		d.tell(news{policy.ListUpdate, l.Members, l.Revision})
 	}
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -6,7 +6,9 @@
 	"fmt"
 	"hash/maphash"
 	"log/slog"
+	"maps"
 	"net/http"
+	"slices"
 	"sync"
 	"time"
 
@@ -66,6 +68,8 @@
 	done     chan struct{} // closed when the loop has ended
 	ready    chan struct{} // closed when the known list is in
 	requests map[string]*request
+	members  map[string]member // the list as it stands
+	listedAt int64             // its revision
 	used     ids
 	owed     int // requests without their answer
 	timers   timers
@@ -104,7 +108,10 @@
 		n int
 		result
 	}
-	finish struct{} // fail what is still open, for the node stops
+	finish  struct{} // fail what is still open, for the node stops
+	bequest struct { // asks what a successor should know
+		reply chan legacy
+	}
 )
 
 func newLoop(c Config, ck clock, up *upstream) (*loop, error) {
@@ -129,12 +136,12 @@
 
 // run handles events until ctx ends; then it calls off what is out and waits for it. The list as last
 // held comes before all else, as the module expects.
-func (l *loop) run(ctx context.Context, known []member) {
+func (l *loop) run(ctx context.Context, known list) {
 	attemptsCtx, cancel := context.WithCancel(context.Background())
 	defer l.attempts.Wait()
 	defer cancel()
 	defer close(l.done)
-	l.handle(attemptsCtx, news{policy.ListRestored, known})
+	l.handle(attemptsCtx, news{policy.ListRestored, known.Members, known.Revision})
 	close(l.ready)
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
@@ -191,6 +198,12 @@
 		l.end(ctx, e)
 	case news:
 		l.listed(ctx, e)
+	case bequest:
+		left := legacy{Revision: l.listedAt, Members: slices.Collect(maps.Values(l.members))}
+		if m, ok := l.module.(*policy.Balancer); ok {
+			left.Policy = m.Remember(l.clock.now())
+		}
+		e.reply <- left
 	case finish:
 		for _, r := range l.requests {
 			if !r.ended {
@@ -240,6 +253,7 @@
 func (l *loop) listed(ctx context.Context, n news) {
 	if n.kind != policy.ListUnavailable {
 		l.up.update(n)
+		l.keep(n)
 	}
 	members := make([]policy.Member, len(n.members))
 	for i, m := range n.members {
@@ -249,6 +263,31 @@
 	l.tell(ctx, policy.MemberList{Kind: n.kind, Members: members})
 }
 
+// keep holds the list together for a successor.
+func (l *loop) keep(n news) {
+	if n.kind != policy.ListUpdate {
+		l.members = make(map[string]member, len(n.members))
+	}
+	l.listedAt = n.revision
+	for _, m := range n.members {
+		if l.members[m.Server] = m; m.Availability == policy.Removed {
+			delete(l.members, m.Server)
+		}
+	}
+}
+
+// legacy is what a successor should know of the servers and of the module's state.
+func (l *loop) legacy() legacy {
+	reply := make(chan legacy, 1)
+	l.send(bequest{reply})
+	select {
+	case left := <-reply:
+		return left
+	case <-l.done:
+		return legacy{}
+	}
+}
+
 // tell gives the module an event and carries out what it wants done, in order.
 func (l *loop) tell(ctx context.Context, ev policy.Event) {
 	for {
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -72,7 +72,7 @@
 	l.module = s
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { l.run(ctx, c.Known.Members); close(ended) }()
+	go func() { l.run(ctx, c.Known); close(ended) }()
 	t.Cleanup(func() {
 		cancel()
 		receive(t, "the loop's end", ended)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -7,6 +7,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"cobaltward/policy"
 )
 
 const (
@@ -28,6 +30,13 @@
 // and returns. Discovery follows the addresses that come from moves.
 func Run(ctx context.Context, c Config, doors Doors, moves <-chan string) error {
 	ck := clock{start: time.Now()}
+	h, old, err := succeed(&c)
+	if err != nil {
+		return err
+	}
+	if h != nil {
+		defer h.leave()
+	}
 	own := ownSockets
 	if doors.Operators != nil {
 		own += doorSockets
@@ -48,6 +57,9 @@
 	if err != nil {
 		return err
 	}
+	if m, ok := l.module.(*policy.Balancer); ok {
+		m.Recall(ck.now(), old.Policy, time.Since(old.Saved))
+	}
 	s := newServer(c, l)
 	clients := newClients(doors.Clients, most)
 	s.life.closeQuiet = clients.closeQuiet
@@ -61,7 +73,7 @@
 	var parts sync.WaitGroup
 	defer parts.Wait()
 	defer stop()
-	parts.Go(func() { l.run(running, c.Known.Members) })
+	parts.Go(func() { l.run(running, c.Known) })
 	parts.Go(func() { l.disc.run(running) })
 	parts.Go(func() {
 		for {
@@ -75,6 +87,16 @@
 	})
 
 	<-l.ready
+	if old.Standby {
+		s.life.standBy()
+	}
+	var shares *shared
+	if h != nil {
+		shares = &shared{handover: h, loop: l, life: &s.life, clients: clients, up: up, clientSockets: most,
+			serverSockets: up.most, ownSockets: own, before: h.before}
+		shares.step(time.Now())
+		parts.Go(func() { shares.run(running) })
+	}
 	s.life.load()
 	failed := make(chan error, 1)
 	parts.Go(func() { failed <- s.http.Serve(clients) })
@@ -83,25 +105,56 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
-	s.drain(c, clients)
+	s.drain(c, clients, h != nil && h.succeeded())
 	return nil
 }
 
+// succeed takes this process's place among the node's, and what the one before it has left.
+func succeed(c *Config) (*handover, legacy, error) {
+	if c.Handover == "" {
+		return nil, legacy{}, nil
+	}
+	h, err := join(c.Handover)
+	if err != nil {
+		return nil, legacy{}, fmt.Errorf("handover: %w", err)
+	}
+	if h.before == 0 {
+		return h, legacy{}, nil
+	}
+	old, err := h.read(h.before, time.Now())
+	if err != nil {
+		slog.Warn("handover: starting without the old process's word", "err", err)
+		return h, legacy{}, nil
+	}
+	slog.Info("handover: taking over", "servers", len(old.Members), "revision", old.Revision, "standby", old.Standby,
+		"age", time.Since(old.Saved))
+	if len(old.Members) > 0 {
+		c.Known = list{Revision: old.Revision, Complete: true, Members: old.Members}
+	}
+	return h, old, nil
+}
+
 // drain ends the service. Clients go on coming for a while, and go on using the connections that they
 // have: there may be no other node for them yet. So the node serves as before at first, and says only
 // that it isn't ready; then it ends each connection with its answer, early enough for what it took last.
-func (s *server) drain(c Config, clients *clients) {
+// Where a successor takes the clients, it begins with that.
+func (s *server) drain(c Config, clients *clients, succeeded bool) {
 	var longest time.Duration
 	for _, class := range c.Settings.Classes {
 		longest = max(longest, class.Deadline)
 	}
 	longest = min(longest, longestDrain)
 	leave := time.Duration(leavingPart * float64(longest))
-	slog.Info("stopping", "serves_on", leave, "at_most", longest)
+	if succeeded {
+		leave = 0
+	}
+	slog.Info("stopping", "succeeded", succeeded, "serves_on", leave, "at_most", longest)
 	late := time.NewTimer(longest)
 	defer late.Stop()
 	s.life.leave(leave)
-	time.Sleep(leave)
+	if leave > 0 {
+		time.Sleep(leave)
+	}
 	s.life.close()
 	clients.Close()
 	if s.emptied(clients, late.C) {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -300,6 +300,22 @@
 	l.room.Signal()
 }
 
+// bound changes how many connections there may be. Those beyond it are closed as they become quiet.
+func (l *clients) bound(most int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.most = most
+	for l.open > l.most && l.evict() {
+	}
+	l.room.Signal()
+}
+
+func (l *clients) bounded() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.most
+}
+
 // left is how many connections are open.
 func (l *clients) left() int {
 	l.mu.Lock()
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -229,6 +229,20 @@
 	return p, nil, nil
 }
 
+// bound changes how many connections there may be; idle ones beyond it are closed.
+func (u *upstream) bound(most int) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	for u.most = most; u.open > u.most && u.evict(); {
+	}
+}
+
+func (u *upstream) bounded() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.most
+}
+
 func (u *upstream) unreserve() {
 	u.mu.Lock()
 	u.open--
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	c := testConfig(t, knownList(addrs...))
 	u := newUpstream(c, 100)
-	u.update(news{policy.ListRestored, c.Known.Members})
+	u.update(news{policy.ListRestored, c.Known.Members, 0})
 	t.Cleanup(u.close)
 	return u
 }
@@ -301,11 +301,11 @@
 		n    news
 		want int
 	}{
-		"same":      {news{policy.ListUpdate, []member{base}}, 1},
-		"restarted": {news{policy.ListUpdate, []member{restarted}}, 0},
-		"removed":   {news{policy.ListUpdate, []member{removed}}, 0},
-		"no news":   {news{policy.ListUpdate, nil}, 1},
-		"missing":   {news{policy.ListReplace, nil}, 0},
+		"same":      {news{policy.ListUpdate, []member{base}, 0}, 1},
+		"restarted": {news{policy.ListUpdate, []member{restarted}, 0}, 0},
+		"removed":   {news{policy.ListUpdate, []member{removed}, 0}, 0},
+		"no news":   {news{policy.ListUpdate, nil, 0}, 1},
+		"missing":   {news{policy.ListReplace, nil, 0}, 0},
 	} {
 		u := testUpstream(t, addr)
 		ended(t, u, testExchange(http.MethodGet, "r1", ""))
@@ -391,10 +391,10 @@
 	u := testUpstream(t, addr)
 	next := members(t, addr)[0]
 	next.Server, next.UpSince = "s1", 5
-	u.update(news{policy.ListUpdate, []member{next}})
+	u.update(news{policy.ListUpdate, []member{next}, 0})
 	late := members(t, addr)[0]
 	late.Availability = policy.Draining
-	u.update(news{policy.ListUpdate, []member{late}}) // of the old one, and late
+	u.update(news{policy.ListUpdate, []member{late}, 0}) // of the old one, and late
 	if r := ended(t, u, testExchange(http.MethodGet, "r1", "")); r.code != policy.ConnectFailed {
 		t.Errorf("to the old server: code %v", r.code)
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1072,6 +1072,7 @@
 		b.servers[m.Server] = s
 	}
 	s.Member = m
+	b.recall(s)
 }
 
 // reorder rebuilds the packing order: own zone first, since crossing costs, then by id. Draining
--- a/policy/state.go
+++ b/policy/state.go
@@ -3,6 +3,7 @@
 import (
 	"fmt"
 	"hash/fnv"
+	"maps"
 	"math"
 	"math/rand/v2"
 	"strings"
@@ -41,10 +42,11 @@
 	extra    []Time     // attempts beyond a request's first in it
 	done     float64    // answers a second, as of doneAt
 	doneAt   Time
-	rates    map[string]float64 // requests a second that warm servers of each kind serve, by their reports
-	unheard  int                // calls for the list that failed in a row
-	busy     float64            // part of their cores that servers use lately, by their reports
-	silent   [6]float64         // part of sends unanswered, by how long the connection was idle, in octaves
+	rates    map[string]float64      // requests a second that warm servers of each kind serve, by their reports
+	unheard  int                     // calls for the list that failed in a row
+	busy     float64                 // part of their cores that servers use lately, by their reports
+	recalled map[string]ServerMemory // by the process before, of servers not listed yet
+	silent   [6]float64              // part of sends unanswered, by how long the connection was idle, in octaves
 }
 
 // pool is a set of servers in packing order.
@@ -194,3 +196,93 @@
 
 // fault tells whether an attempt ended by an error, or by a connection that broke or never came up.
 func (c Code) fault() bool { return c == ServerError || c == Reset || c == ConnectFailed }
+
+// Memory is what one process of a node tells the next, for both are one node: ages in place of times,
+// as their clocks differ. The zero Memory tells nothing.
+type Memory struct {
+	Pace, Busy float64
+	Rates      map[string]float64
+	Buckets    []BucketMemory
+	Servers    []ServerMemory
+}
+
+// BucketMemory is one bucket's level.
+type BucketMemory struct {
+	Tenant, Class string
+	Tokens        int64
+	Age           time.Duration // since tokens were last added
+}
+
+// ServerMemory is what was learned of one process of a server.
+type ServerMemory struct {
+	Server           string
+	Up               time.Duration // since it started; 0 for long ago
+	Threshold        float64
+	Felt             bool
+	Latency, Faults  float64
+	Takes, ColdLevel float64 // of a cold server, and its budget's level
+}
+
+// Remember is what a successor of this node should know.
+func (b *Balancer) Remember(now Time) Memory {
+	m := Memory{Pace: b.pace, Busy: b.busy, Rates: maps.Clone(b.rates)}
+	for key, k := range b.buckets {
+		m.Buckets = append(m.Buckets, BucketMemory{Tenant: key.tenant, Class: key.class, Tokens: k.tokens,
+			Age: now - k.last})
+	}
+	for _, s := range b.order {
+		l := ServerMemory{Server: s.Server, Threshold: s.threshold, Felt: s.felt, Latency: s.latency,
+			Faults: s.faults, Takes: s.takes, ColdLevel: s.cold.tokens}
+		if s.OnlineSince > 0 {
+			l.Up = now - s.OnlineSince
+		}
+		m.Servers = append(m.Servers, l)
+	}
+	return m
+}
+
+// Recall takes over what another process of this node remembered a while ago; figures that can't be are
+// left out. Of the servers, it counts when the list names them.
+func (b *Balancer) Recall(now Time, m Memory, ago time.Duration) {
+	if m.Pace > 0 {
+		b.pace = min(paceMost, max(paceLeast, m.Pace))
+	}
+	b.busy = min(1, max(0, m.Busy))
+	for kind, rate := range m.Rates {
+		if rate > 0 {
+			b.rates[kind] = rate
+		}
+	}
+	for _, k := range m.Buckets {
+		l, key, ok := b.limitFor(k.Tenant, k.Class)
+		if ok && key == (bucketKey{k.Tenant, k.Class}) && len(b.buckets) < maxBuckets {
+			b.buckets[key] = &bucket{tokens: min(l.Burst, max(0, k.Tokens)), last: now - max(0, k.Age) - max(0, ago)}
+		}
+	}
+	b.recalled = make(map[string]ServerMemory, len(m.Servers))
+	for _, s := range m.Servers {
+		if s.Up > 0 {
+			s.Up = now - s.Up - max(0, ago)
+		}
+		b.recalled[s.Server] = s
+	}
+}
+
+// sameStart is how far two processes' reckonings of a server's start may differ: clocks are read at
+// different moments, and starts in milliseconds.
+const sameStart = 500 * time.Millisecond
+
+// recall gives a server that is new to this process what another knew of it, once.
+func (b *Balancer) recall(s *server) {
+	m, ok := b.recalled[s.Server]
+	delete(b.recalled, s.Server)
+	if !ok || (m.Up == 0) != (s.OnlineSince == 0) || (s.OnlineSince-m.Up).Abs() > sameStart {
+		return
+	}
+	if m.Threshold > 0 && m.Latency > 0 {
+		s.threshold, s.felt, s.latency = m.Threshold, m.Felt, m.Latency
+		s.faults = min(1, max(0, m.Faults))
+	}
+	s.takes = max(0, m.Takes)
+	s.cold.tokens = min(0, m.ColdLevel) // what the other may still send counts too
+}
--- /dev/null
+++ b/policy/state_test.go
@@ -0,0 +1,75 @@
+package policy
+
+import (
+	"testing"
+	"time"
+)
+
+// A process that takes over goes on where the one before it stood: bucket levels, thresholds and what a
+// cold server was sent are not granted anew. What is remembered of another process of a server is not
+// believed, and clocks of different origins do not matter.
+func TestSuccessorGoesOnWhereTheOldOneStood(t *testing.T) {
+	list := members(3)
+	list[1].OnlineSince = time.Second
+	list[2].OnlineSince = time.Second
+	old := start(t, site(2), list)
+	now := 2 * time.Second
+	old.now = now
+	for range 40 {
+		old.admit("u", "free")
+	}
+	if ok, _ := old.admit("u", "free"); ok {
+		t.Fatal("the bucket should be empty")
+	}
+	old.servers["s00"].threshold, old.servers["s00"].felt = 7.5, true
+	old.servers["s01"].cold.tokens, old.servers["s02"].cold.tokens = -2, -2
+	old.rates["k1"] = 44
+	m := old.Remember(now)
+
+	const origin = time.Hour // of the new process's clock, at the moment at which the old one's shows 2 s
+	list[1].OnlineSince += origin - now
+	list[2].OnlineSince = origin // started anew
+	next, err := New(site(2), origin, 1)
+	if err != nil {
+		t.Fatal(err)
+	}
+	next.Recall(origin+10*ms, m, 10*ms)
+	next.Handle(origin+10*ms, MemberList{Kind: ListRestored, Members: list})
+	if ok, _ := next.admit("u", "free"); ok {
+		t.Error("a tenant was handed a fresh burst")
+	}
+	if s := next.servers["s00"]; s.threshold != 7.5 || !s.felt {
+		t.Errorf("threshold %v, felt %v", s.threshold, s.felt)
+	}
+	if got := next.servers["s01"].cold.tokens; got != -2 {
+		t.Errorf("the cold server's budget is at %v, want -2", got)
+	}
+	if got := next.servers["s02"].cold.tokens; got < 0 {
+		t.Errorf("a new process of a server has the old one's budget, %v", got)
+	}
+	if next.rates["k1"] != 44 {
+		t.Errorf("rates %v", next.rates)
+	}
+}
+
+// Nothing remembered changes nothing, and what makes no sense does no harm.
+func TestRecallOfNothing(t *testing.T) {
+	for _, m := range []Memory{{}, {Pace: -1, Busy: 9, Rates: map[string]float64{"k0": -1},
+		Buckets: []BucketMemory{{Tenant: "t", Tokens: -5, Age: -time.Hour}, {Tenant: "t", Class: "x", Tokens: 1 << 60}},
+		Servers: []ServerMemory{{Server: "s00", Threshold: -1, Latency: -1, Takes: -1, ColdLevel: 100}}}} {
+		b, err := New(site(2), time.Hour, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		b.Recall(time.Hour, m, -time.Second)
+		b.Handle(time.Hour, MemberList{Kind: ListRestored, Members: members(3)})
+		s := b.servers["s00"]
+		if b.pace != 1 || s.threshold != b.start(s) || s.takes != 0 || len(b.rates) != 0 {
+			t.Errorf("pace %v, threshold %v, takes %v, rates %v", b.pace, s.threshold, s.takes, b.rates)
+		}
+		b.Handle(time.Hour+time.Second, Request{ID: "r", Class: "free", Tenant: "t", ExpiresIn: time.Second})
+		if b.servers["s00"].inflight != 1 {
+			t.Error("a request was not sent")
+		}
+	}
+}
