--- /dev/null
+++ b/internal/node/bodies_test.go
@@ -0,0 +1,520 @@
+package node
+
+import (
+	"bufio"
+	"bytes"
+	"crypto/sha256"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strings"
+	"sync/atomic"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cobaltward/policy"
+)
+
+// large is a body that nobody holds whole, and of which each place is told from the others.
+func large(n int) []byte {
+	p := make([]byte, n)
+	for i := range p {
+		p[i] = byte(i>>16 ^ i>>8 ^ i)
+	}
+	return p
+}
+
+// openSlots is how much room nobody has.
+func (r *room) empty(t *testing.T) bool {
+	t.Helper()
+	for _, s := range []interface {
+		TryAcquire(int64) bool
+		Release(int64)
+	}{r.requests, r.answers, r.largeRequests, r.largeAnswers} {
+		if !s.TryAcquire(leastRoom) {
+			return false
+		}
+		s.Release(leastRoom)
+	}
+	return true
+}
+
+// Large bodies go both ways as they are, in whatever framing, while the node has room for pieces only.
+func TestLargeBodiesPassBothWays(t *testing.T) {
+	answer := large(5 << 20)
+	addr := httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		sum := sha256.New()
+		n, err := io.Copy(sum, r.Body)
+		if err != nil {
+			return
+		}
+		w.Header().Set("X-Got", "")
+		if r.URL.Query().Get("told") != "" {
+			w.Header().Set("Content-Length", fmt.Sprint(len(answer)+100))
+		}
+		fmt.Fprintf(w, "%-100s", fmt.Sprintf("%d %x", n, sum.Sum(nil)))
+		_, _ = w.Write(answer)
+	})
+	c := testConfig(t, knownList(addr))
+	c.MemoryMB = 1
+	node, _ := startNode(t, c)
+	for _, told := range []bool{true, false} {
+		for _, size := range []int{wholeBody - 1, wholeBody, wholeBody + 1, wholeBody + 2, 3 << 20} {
+			body := large(size)
+			req := clientRequest(t, node, "POST", "pay", fmt.Sprintf("r-%d-%v", size, told), "x")
+			req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(size)
+			if !told {
+				req.ContentLength = -1
+			} else {
+				req.URL.RawQuery = "told=1"
+			}
+			resp, got := do(t, req)
+			want := fmt.Sprintf("%-100s%s", fmt.Sprintf("%d %x", size, sha256.Sum256(body)), answer)
+			if resp.StatusCode != 200 || got != want {
+				t.Errorf("%d bytes, told %v: %d, %d bytes that begin with %.80q", size, told, resp.StatusCode, len(got), got)
+			}
+		}
+	}
+}
+
+// An answer that breaks off once it is being passed on breaks off at the client too, and one that breaks
+// off before that is none at all.
+func TestBrokenLargeAnswerIsToldApart(t *testing.T) {
+	var attempts atomic.Int32
+	cut := wholeBody + 9
+	addr := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+		if !swallow(r) {
+			return
+		}
+		attempts.Add(1)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n%s", 2*cut, large(cut))
+	})
+	chunked := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+		if !swallow(r) {
+			return
+		}
+		attempts.Add(1)
+		_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n%x\r\n%s", 2*cut, large(cut))
+	})
+	for _, server := range []string{addr, chunked} {
+		attempts.Store(0)
+		node, stop := startNode(t, testConfig(t, knownList(server)))
+		resp, err := http.DefaultClient.Do(clientRequest(t, node, "GET", "read", "r1", ""))
+		if err != nil {
+			t.Fatal(err)
+		}
+		got, err := io.ReadAll(resp.Body)
+		resp.Body.Close()
+		if resp.StatusCode != 200 || err == nil || !bytes.Equal(got, large(cut)[:len(got)]) || attempts.Load() != 1 {
+			t.Errorf("%d, %d bytes, %v after %d attempts; want 200 that breaks off, after one", resp.StatusCode,
+				len(got), err, attempts.Load())
+		}
+		if err := stop(); err != nil {
+			t.Error(err)
+		}
+	}
+}
+
+// Time no longer ends an attempt whose answer is being passed on, and the module hears of it as it begins.
+func TestBegunAnswerIsNotCutOff(t *testing.T) {
+	more := make(chan struct{})
+	addr := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+		for swallow(r) {
+			_, _ = fmt.Fprintf(c, "HTTP/1.1 200 OK\r\nContent-Length: %d\r\n\r\n", 3*wholeBody)
+			_, _ = c.Write(large(3 * wholeBody)[:wholeBody])
+			<-more
+			_, _ = c.Write(large(3 * wholeBody)[wholeBody:])
+		}
+	})
+	u := testUpstream(t, addr)
+	until := time.Now().Add(2 * time.Second)
+	var got []byte
+	u.attempt(t.Context(), "s0", testExchange(http.MethodGet, "r1", ""), attemptHost{until: until, end: func(r result) {
+		if r.code != policy.OK || r.answer.more == nil {
+			t.Errorf("code %v", r.code)
+			return
+		}
+		go func() {
+			time.Sleep(time.Until(until.Add(time.Millisecond)))
+			close(more)
+			rest, err := io.ReadAll(r.answer.more.rest)
+			got = append(r.answer.body, rest...)
+			r.answer.claim.free()
+			r.answer.more.end(err)
+		}()
+	}})
+	if !bytes.Equal(got, large(3*wholeBody)) {
+		t.Errorf("%d bytes came", len(got))
+	}
+	if open, idle := u.counts("s0"); open != 1 || idle != 1 {
+		t.Errorf("%d open, %d idle: the connection serves another request", open, idle)
+	}
+	if !u.room.empty(t) {
+		t.Error("room is left taken")
+	}
+}
+
+// streamed is a large request whose rest comes from a reader.
+func streamed(t *testing.T, id string, rest io.Reader, length int64) *exchange {
+	x := testExchange(http.MethodPost, id, string(large(wholeBody)))
+	x.rest, x.length = newUpload(deadlines{}, rest, 0), length
+	return x
+}
+
+// deadlines is a ResponseWriter that takes deadlines and does nothing with them.
+type deadlines struct{ http.ResponseWriter }
+
+func (deadlines) SetReadDeadline(time.Time) error { return nil }
+
+// A large body goes out again for as long as all of it is held, and not later; what did not go out whole
+// has never run.
+func TestLargeBodyIsSentOnce(t *testing.T) {
+	closed, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	closed.Close()
+	var whole atomic.Int32
+	cutter := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = io.CopyN(io.Discard, r, 2*wholeBody) // more than the node holds
+		_ = c.(*net.TCPConn).SetLinger(0)
+	})
+	good := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+		if swallow(r) {
+			whole.Add(1)
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		}
+	})
+	for _, c := range []struct {
+		servers []string
+		want    []string
+		status  int
+		whole   int32
+	}{
+		{[]string{closed.Addr().String(), good}, []string{"0 connect failed", "1 ok"}, 200, 1},
+		{[]string{cutter, good}, []string{"0 connect failed", "1 moot"}, 503, 0},
+	} {
+		whole.Store(0)
+		var outcomes []string
+		l, _ := startLoop(t, c.servers[0], func(_ policy.Time, ev policy.Event) []policy.Action {
+			switch e := ev.(type) {
+			case policy.Request:
+				return sends(e.ID, 1)
+			case policy.Outcome:
+				outcomes = append(outcomes, fmt.Sprint(e.Attempt, " ", e.Code))
+				if e.Code == policy.ConnectFailed {
+					return []policy.Action{{Kind: policy.Send, ID: e.ID, Server: "s1"}}
+				}
+				if e.Code == policy.Moot {
+					return []policy.Action{{Kind: policy.Refuse, ID: e.ID}}
+				}
+			}
+			return nil
+		})
+		l.send(news{policy.ListReplace, members(t, c.servers...), 1})
+		x := streamed(t, "r1", bytes.NewReader(large(4<<20)), wholeBody+4<<20)
+		x.came, x.clientWaits = l.clock.now(), long
+		l.send(arrival{x})
+		a := receive(t, "the answer", x.reply)
+		l.legacy() // the loop has gone through what came before
+		if a.status != c.status || fmt.Sprint(outcomes) != fmt.Sprint(c.want) || whole.Load() != c.whole {
+			t.Errorf("%d, outcomes %q, %d whole; want %d, %q, %d", a.status, outcomes, whole.Load(), c.status, c.want, c.whole)
+		}
+	}
+}
+
+// A server that refuses before it has the whole body has not run it, and the rest is not sent.
+func TestEarlyRefusalEndsTheUpload(t *testing.T) {
+	addr := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+		_, _ = r.Peek(1)
+		_, _ = io.WriteString(c, "HTTP/1.1 503 F\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		_, _ = r.ReadByte()
+		_, _ = io.Copy(io.Discard, r)
+	})
+	blocked, unblock := io.Pipe()
+	u := testUpstream(t, addr)
+	x := streamed(t, "r1", blocked, 8<<20)
+	done := make(chan result, 1)
+	go func() { done <- attemptAt(t.Context(), u, "s0", x, time.Now().Add(long)) }()
+	await(t, "the end of what is wanted", func() bool {
+		x.rest.mu.Lock()
+		defer x.rest.mu.Unlock()
+		return x.rest.stopped
+	})
+	unblock.CloseWithError(errStopped) // as the deadline does on a connection
+	if r := receive(t, "the outcome", done); r.code != policy.Full {
+		t.Errorf("code %v, want full", r.code)
+	}
+	if open, _ := u.counts("s0"); open != 0 {
+		t.Errorf("%d connections are still open", open)
+	}
+}
+
+// A client that breaks its own body off is not the server's fault, and its request never ran.
+func TestBrokenUploadIsTheClients(t *testing.T) {
+	var whole atomic.Int32
+	addr := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+		if swallow(r) {
+			whole.Add(1)
+		}
+	})
+	x := streamed(t, "r1", io.MultiReader(bytes.NewReader(large(1<<20)), brokenReader{}), -1)
+	r := attemptAt(t.Context(), testUpstream(t, addr), "s0", x, time.Now().Add(long))
+	if r.code != policy.Cancelled || whole.Load() != 0 {
+		t.Errorf("code %v, %d whole requests", r.code, whole.Load())
+	}
+	select {
+	case <-x.rest.left:
+	default:
+		t.Error("nobody is told that the client's body broke off")
+	}
+}
+
+type brokenReader struct{}
+
+func (brokenReader) Read([]byte) (int, error) { return 0, io.ErrUnexpectedEOF }
+
+// slowReader gives so many bytes each time it has waited.
+type slowReader struct {
+	wait  time.Duration
+	bytes int
+	left  int
+}
+
+func (r *slowReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, io.EOF
+	}
+	time.Sleep(r.wait)
+	n := min(r.bytes, r.left, len(p))
+	r.left -= n
+	return n, nil
+}
+
+// Bodies may come as slowly as 64 kB a second, in pieces of any size; what comes slower is ended in time,
+// and the time in which the node itself does not read counts for nothing.
+func TestPaceOfBodies(t *testing.T) {
+	for name, c := range map[string]struct {
+		from  slowReader
+		ago   time.Duration
+		pause time.Duration // of the node before each read
+		want  error
+		by    time.Duration
+	}{
+		"64 kB/s, a byte at a time": {slowReader{time.Second / 64000, 1, 100 << 10}, 2 * time.Second, 0, nil, long},
+		"64 kB/s, in large pieces":  {slowReader{time.Second / 2, 32000, 2 << 20}, 2 * time.Second, 0, nil, 3 * long},
+		"back-pressure":             {slowReader{time.Second / 4, 16 << 10, 1 << 20}, 2 * time.Second, time.Second, nil, 3 * long},
+		"dribble":                   {slowReader{100 * time.Millisecond, 1, 1 << 20}, 0, 0, errTooSlow, 3 * time.Second},
+		"dribble after a slow head": {slowReader{100 * time.Millisecond, 1, 1 << 20}, 2 * time.Second, 0, errTooSlow, time.Second},
+		"dribble often":             {slowReader{5 * time.Millisecond, 1, 1 << 20}, 0, 0, errTooSlow, 3 * time.Second},
+		"more than there may be":    {slowReader{0, 1 << 20, maxBody + 1}, 0, 0, errTooLarge, time.Second},
+		"as much as there may be":   {slowReader{0, 1 << 20, maxBody}, 0, 0, nil, time.Second},
+	} {
+		synctest.Test(t, func(t *testing.T) {
+			began := time.Now()
+			u := newUpload(deadlines{}, &c.from, c.ago)
+			var err error
+			for p := make([]byte, 1<<20); err == nil; {
+				time.Sleep(c.pause)
+				_, err = u.Read(p)
+			}
+			if c.want == nil && err != io.EOF || c.want != nil && !errors.Is(err, c.want) || time.Since(began) > c.by {
+				t.Errorf("%s: %v after %v, want %v within %v", name, err, time.Since(began), c.want, c.by)
+			}
+			if u.whole() != (c.want == nil) || (u.failure() != nil) != (c.want != nil) {
+				t.Errorf("%s: whole %v, failure %v", name, u.whole(), u.failure())
+			}
+		})
+	}
+}
+
+// Slow large bodies that have all their room keep no small one out, and who has none waits for it.
+func TestRoomIsSharedOut(t *testing.T) {
+	r := newRoom(1)
+	var held []*claim
+	for range leastRoom / wholeBody {
+		c, err := take(t.Context(), r.largeRequests, wholeBody)
+		if err != nil {
+			t.Fatal(err)
+		}
+		held = append(held, c)
+	}
+	small, err := take(t.Context(), r.requests, wholeBody)
+	if err != nil {
+		t.Fatal(err)
+	}
+	small.free()
+	next := make(chan *claim, 1)
+	go func() {
+		c, _ := take(t.Context(), r.largeRequests, wholeBody)
+		next <- c
+	}()
+	held[0].shrink(pieceSize)
+	held[1].shrink(pieceSize)
+	held[1].shrink(wholeBody) // it doesn't grow again
+	receive(t, "room", next).free()
+	for _, c := range held {
+		c.free()
+		c.free()
+	}
+	(*claim)(nil).free()
+	if !r.empty(t) {
+		t.Error("room is left taken")
+	}
+}
+
+// All forms of HTTP/1.1 that say plainly what they mean are served, also one behind another.
+func TestFormsOfRequests(t *testing.T) {
+	addr := httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "<%s %s %s>", r.Header.Get("X-Request-Id"), r.RequestURI, body)
+	})
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	request := func(method, target, class, id, more string) string {
+		return fmt.Sprintf("%s %s HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: t\r\nX-Deadline-Ms: 8000\r\n%s",
+			method, target, id, class, more)
+	}
+	chunks := "3;name=\"v;x\"\r\nsum\r\n1;a\r\n!\r\n0\r\nX-Trailer: x\r\n\r\n"
+	for name, c := range map[string]struct{ raw, want string }{
+		"chunks with extensions and trailers": {request("POST", "/api?a=1", "pay", "a", "transfer-encoding: Chunked\r\n\r\n"+chunks),
+			"<a /api?a=1 sum!>"},
+		"expectation": {request("POST", "/api", "pay", "b", "Connection: close\r\nExpect: 100-continue\r\nContent-Length: 3\r\n\r\nsum"),
+			"HTTP/1.1 100 Continue\r\n\r\n;<b /api sum>"},
+		"absolute form": {request("GET", "http://origin.svc/api/x?q=%20", "read", "c", "Connection: close\r\n\r\n"), "<c /api/x?q=%20 >"},
+		"one behind another": {request("GET", "/1", "read", "d", "\r\n") + request("POST", "/2", "pay", "e", "Content-Length: 3\r\n\r\nsum") +
+			request("GET", "/3", "read", "f", "Connection: close\r\n\r\n"), "<d /1 >;<e /2 sum>;<f /3 >"},
+	} {
+		for _, piece := range []int{1, 7, 1 << 20} {
+			conn, err := net.Dial("tcp", node)
+			if err != nil {
+				t.Fatal(err)
+			}
+			raw := strings.NewReplacer("Request-Id: ", fmt.Sprintf("Request-Id: %d-", piece)).Replace(c.raw)
+			for rest := raw; rest != ""; {
+				n := min(piece, len(rest))
+				_, _ = io.WriteString(conn, rest[:n])
+				rest = rest[n:]
+			}
+			_ = conn.SetReadDeadline(time.Now().Add(long))
+			got, err := io.ReadAll(conn)
+			conn.Close()
+			if err != nil {
+				t.Fatalf("%s: %v", name, err)
+			}
+			at := 0
+			for _, want := range strings.Split(c.want, ";") {
+				want = strings.Replace(want, "<", fmt.Sprintf("<%d-", piece), 1)
+				i := strings.Index(string(got[at:]), want)
+				if i < 0 {
+					t.Errorf("%s, in pieces of %d: %q, want %q behind what came first", name, piece, got, want)
+					break
+				}
+				at += i + len(want)
+			}
+		}
+	}
+}
+
+// What one side might take for a body and another for a request reaches no server, and nothing behind it.
+func TestAmbiguousHeadsReachNoServer(t *testing.T) {
+	var reached atomic.Int32
+	addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if _, err := io.Copy(io.Discard, r.Body); err == nil {
+			reached.Add(1)
+		}
+	})
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	head := "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: outer\r\nX-Class: pay\r\nX-Tenant: t\r\nX-Deadline-Ms: 8000\r\n"
+	hidden := "GET /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: inner\r\nX-Class: read\r\nX-Tenant: t\r\nX-Deadline-Ms: 8000\r\n\r\n"
+	for name, raw := range map[string]string{
+		"length beside a coding":  head + "Content-Length: 5\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"coding beside a length":  head + "transfer-encoding: chunked\r\nCONTENT-LENGTH: 0\r\n\r\n0\r\n\r\n" + hidden,
+		"a bare line feed":        head + "X: y\nContent-Length: 0\r\n\r\n" + hidden,
+		"bare line feeds":         strings.ReplaceAll(head, "\r\n", "\n") + "Content-Length: 0\n\n" + hidden,
+		"a bare end of the head":  head + "Content-Length: 0\r\n\n" + hidden,
+		"lengths that differ":     head + "Content-Length: 0\r\nContent-Length: 3\r\n\r\n" + hidden,
+		"a list of lengths":       head + "Content-Length: 0, 3\r\n\r\n" + hidden,
+		"a signed length":         head + "Content-Length: +0\r\n\r\n" + hidden,
+		"a bad chunk size":        head + "Transfer-Encoding: chunked\r\n\r\n0x1\r\nx\r\n0\r\n\r\n" + hidden,
+		"a chunk size too large":  head + "Transfer-Encoding: chunked\r\n\r\nfffffffffffffffff\r\nx\r\n0\r\n\r\n" + hidden,
+		"a chunk that is longer":  head + "Transfer-Encoding: chunked\r\n\r\n1\r\nxyz\r\n0\r\n\r\n" + hidden,
+		"two codings":             head + "Transfer-Encoding: gzip, chunked\r\n\r\n0\r\n\r\n" + hidden,
+		"a space before a colon":  head + "Content-Length : 3\r\n\r\n" + hidden,
+		"a bad chunk far behind":  head + "Transfer-Encoding: chunked\r\n\r\n" + fmt.Sprintf("%x\r\n%s\r\nzz\r\n", 2*wholeBody, large(2*wholeBody)) + hidden,
+		"an ambiguous second one": strings.Replace(hidden, "inner", "first", 1) + head + "Content-Length: 0\r\nTransfer-Encoding: chunked\r\n\r\n0\r\n\r\n",
+	} {
+		reached.Store(0)
+		c, err := net.Dial("tcp", node)
+		if err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.WriteString(c, raw)
+		_ = c.SetReadDeadline(time.Now().Add(long))
+		got, err := io.ReadAll(c)
+		c.Close()
+		if ne, ok := err.(net.Error); ok && ne.Timeout() {
+			t.Errorf("%s: the connection stays open", name)
+		}
+		first := int32(0)
+		if strings.HasPrefix(name, "an ambiguous second") {
+			first = 1
+			got = bytes.TrimPrefix(got, got[:max(0, bytes.LastIndex(got, []byte("HTTP/1.1 ")))])
+		}
+		if !bytes.HasPrefix(got, []byte("HTTP/1.1 4")) && !bytes.HasPrefix(got, []byte("HTTP/1.1 501")) ||
+			bytes.Count(got, []byte("HTTP/1.")) != 1 || reached.Load() != first {
+			t.Errorf("%s: answered %.200q, %d reached the server", name, got, reached.Load())
+		}
+	}
+}
+
+// However a connection's bytes are cut, the same heads and flaws are seen, each by itself.
+func FuzzHeadWatch(f *testing.F) {
+	f.Add([]byte("GET / HTTP/1.1\r\nContent-Length: 3\r\n\r\nPOST /\nTransfer-Encoding: x\r\nContent-length:1\r\n\r\n"), uint8(3))
+	f.Add([]byte("\r\n\n\r\r\n"), uint8(1))
+	f.Fuzz(func(t *testing.T, raw []byte, cut uint8) {
+		heads := func(step int) (all []string) {
+			var w headWatch
+			head := []byte{}
+			for rest := raw; len(rest) > 0; {
+				p := rest[:min(step, len(rest))]
+				n := w.pass(p)
+				if n <= 0 || n > len(p) {
+					t.Fatalf("lets %d of %d through", n, len(p))
+				}
+				head, rest = append(head, p[:n]...), rest[n:]
+				if bytes.HasSuffix(head, []byte("\n\n")) || bytes.HasSuffix(head, []byte("\n\r\n")) || string(head) == "\n" || string(head) == "\r\n" {
+					all = append(all, fmt.Sprintf("%q %+v", head, w.flaws))
+					head = nil
+				}
+			}
+			return all
+		}
+		if whole, parts := heads(len(raw)+1), heads(int(cut)+1); fmt.Sprint(whole) != fmt.Sprint(parts) {
+			t.Errorf("whole: %v, in parts of %d: %v", whole, cut+1, parts)
+		}
+	})
+}
+
+// A client that ended its sending has left; it is not told that its request was served.
+func TestWhoLeavesIsNotToldOfSuccess(t *testing.T) {
+	hold := make(chan struct{})
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) { <-hold })
+	defer close(hold)
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	c, err := net.Dial("tcp", node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if err := clientRequest(t, node, "GET", "read", "r1", "").Write(c); err != nil {
+		t.Fatal(err)
+	}
+	_ = c.(*net.TCPConn).CloseWrite()
+	_ = c.SetReadDeadline(time.Now().Add(long))
+	if got, _ := io.ReadAll(c); len(got) > 0 {
+		t.Errorf("told %q", got)
+	}
+}
--- /dev/null
+++ b/internal/node/head.go
@@ -0,0 +1,74 @@
+package node
+
+// headWatch sees the bytes of a client's connection on their way to net/http, and tells apart what
+// net/http takes for one thing and a server might take for another: it drops a length that stands beside a
+// transfer coding, and takes a bare line feed for a line's end. It reads nothing else of a request, and lets
+// through no more than one head at a time, so that what it saw is of the request in hand. A body's length
+// is told to it; behind one that nobody knows the end of, it sees no more requests, and none must be read.
+type headWatch struct {
+	body  int64 // bytes of a body that are still to come; below 0: no more heads are seen
+	in    headFlaws
+	flaws headFlaws // of the last head that went through whole
+
+	line  int // bytes of the line so far
+	cr    bool
+	field [len("transfer-encoding:")]byte // how the line begins, in small letters
+}
+
+// headFlaws are what makes a head ambiguous.
+type headFlaws struct{ length, coding, bare bool }
+
+// problem names the flaw of a head, if it has one.
+func (f headFlaws) problem() string {
+	switch {
+	case f.bare:
+		return "a line of the head ends without a carriage return"
+	case f.length && f.coding:
+		return "Content-Length beside Transfer-Encoding"
+	}
+	return ""
+}
+
+// pass returns how many of the bytes may go on now; those behind a head's or a body's end come again.
+func (w *headWatch) pass(p []byte) int {
+	switch {
+	case w.body < 0:
+		return len(p)
+	case w.body > 0:
+		n := int(min(int64(len(p)), w.body))
+		w.body -= int64(n)
+		return n
+	}
+	for i, c := range p {
+		if c != '\n' {
+			if w.line < len(w.field) {
+				if 'A' <= c && c <= 'Z' {
+					c += 'a' - 'A'
+				}
+				w.field[w.line] = c
+			}
+			w.line, w.cr = w.line+1, c == '\r'
+			continue
+		}
+		if w.endLine() {
+			return i + 1
+		}
+	}
+	return len(p)
+}
+
+// endLine takes in a whole line, and reports whether it ends the head.
+func (w *headWatch) endLine() bool {
+	field := string(w.field[:min(w.line, len(w.field))])
+	w.in.bare = w.in.bare || !w.cr
+	w.in.length = w.in.length || begins(field, "content-length:")
+	w.in.coding = w.in.coding || begins(field, "transfer-encoding:")
+	empty := w.line == 0 || w.line == 1 && w.cr
+	w.line, w.cr = 0, false
+	if empty {
+		w.flaws, w.in = w.in, headFlaws{}
+	}
+	return empty
+}
+
+func begins(s, with string) bool { return len(s) >= len(with) && s[:len(with)] == with }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -25,6 +25,7 @@
 	// answer still arrives; half of it later the backstop answers. Of short deadlines it is a part.
 	answerMargin     = 20 * time.Millisecond
 	answerMarginPart = 5
+	longestUpload    = maxBody/slowestBody*time.Second + time.Minute
 	sweepEvery       = time.Second // idle connections to servers
 	ownRetryAfter    = time.Second // told to clients that the node refuses without the module
 	idsFor           = 10 * time.Second
@@ -102,8 +103,15 @@
 // The events of the loop, beside news.
 type (
 	arrival   struct{ x *exchange }
-	departure struct{ x *exchange }
-	ending    struct { // of an attempt
+	departure struct {
+		x    *exchange
+		told chan struct{} // closed when it is heeded; nil: nobody waits for that
+	}
+	uploaded struct { // the last byte of a large body was sent on
+		r    *request
+		took time.Duration
+	}
+	ending struct { // of an attempt
 		r *request
 		n int
 		result
@@ -194,6 +202,14 @@
 			l.tell(ctx, policy.Lapsed{ID: r.req.ID})
 			l.drop(r)
 		}
+		if e.told != nil {
+			close(e.told)
+		}
+	case uploaded:
+		if r := e.r; !r.ended { // the client's time counts from its last byte
+			r.deadline += e.took
+			l.postpone(r, r.deadline+r.margin()/2)
+		}
 	case ending:
 		l.end(ctx, e)
 	case news:
@@ -224,29 +240,46 @@
 		x.reply <- answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter}
 		return
 	}
-	margin := min(answerMargin, x.clientWaits/answerMarginPart)
-	end := x.came + x.clientWaits
-	r := &request{exchange: x, deadline: end - margin}
+	r := &request{exchange: x}
+	r.deadline = x.came + x.clientWaits - r.margin()
 	l.requests[x.req.ID] = r
 	l.owed++
 	l.trace.arrived++
-	r.backstop = &timer{due: end - margin/2, backstop: r}
+	r.backstop = &timer{due: r.deadline + r.margin()/2, backstop: r}
+	if x.rest != nil {
+		r.backstop.due += longestUpload
+	}
 	heap.Push(&l.timers, r.backstop)
 	req := x.req
 	req.ExpiresIn = max(0, r.deadline-l.clock.now())
 	l.tell(ctx, req)
 }
 
+// margin is how long before its client stops waiting a request's time is up.
+func (x *exchange) margin() time.Duration { return min(answerMargin, x.clientWaits/answerMarginPart) }
+
+// postpone moves a request's backstop.
+func (l *loop) postpone(r *request, due policy.Time) {
+	if r.backstop.at >= 0 {
+		r.backstop.due = due
+		heap.Fix(&l.timers, r.backstop.at)
+	}
+}
+
 func (l *loop) end(ctx context.Context, e ending) {
 	a := &e.r.attempts[e.n]
-	a.cancel()
+	if e.answer.more == nil { // else it ends with the last byte
+		a.cancel()
+	}
 	l.trace.attempt(l.clock.now(), e.r, e.n, e.result)
 	e.r.pending--
 	if e.code == policy.OK && !e.r.ended {
 		l.answer(e.r, e.result.answer, "")
+	} else {
+		e.result.answer.drop()
 	}
 	l.tell(ctx, policy.Outcome{ID: e.r.req.ID, Server: a.server, Attempt: e.n, Code: e.code,
-		Latency: l.clock.now() - a.sent, Ended: e.r.ended, Report: e.report})
+		Latency: l.clock.now() - a.sent - e.upload, Ended: e.r.ended, Report: e.report})
 	l.drop(e.r)
 }
 
@@ -347,7 +380,9 @@
 	}
 	n := len(r.attempts)
 	r.pending++
-	if r.ended || now >= r.deadline || n >= max(1, l.allowed.MaxAttempts) {
+	// Of a large body, what has gone on is not held any more: no attempt beside or after that.
+	spent := r.rest != nil && (r.rest.begun.Load() || r.pending > 1)
+	if r.ended || spent || now >= r.deadline || n >= max(1, l.allowed.MaxAttempts) {
 		r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: func() {}})
 		l.skipped = append(l.skipped, policy.Outcome{ID: a.ID, Server: a.Server, Attempt: n, Code: policy.Moot})
 		return
@@ -356,9 +391,16 @@
 	if a.Until > 0 {
 		until = min(until, a.Until)
 	}
-	ctx, cancel := context.WithDeadline(ctx, l.clock.at(until))
+	ctx, cancel := context.WithCancel(ctx)
 	r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: cancel})
-	l.attempts.Go(func() { l.send(ending{r, n, l.up.attempt(ctx, a.Server, r.exchange)}) })
+	l.attempts.Go(func() {
+		defer cancel()
+		l.up.attempt(ctx, a.Server, r.exchange, attemptHost{
+			until:    l.clock.at(until),
+			uploaded: func(took time.Duration) { l.send(uploaded{r, took}) },
+			end:      func(e result) { l.send(ending{r, n, e}) },
+		})
+	})
 }
 
 func (l *loop) refuse(r *request, wait time.Duration, why string) {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -2,11 +2,16 @@
 
 import (
 	linked "container/list"
+	"context"
+	"errors"
+	"fmt"
 	"io"
+	"log/slog"
 	"net"
 	"net/http"
 	"net/url"
 	"os"
+	"slices"
 	"strconv"
 	"sync"
 	"syscall"
@@ -23,6 +28,7 @@
 	clientIdle    = 15 * time.Second        // without a request; under pressure it is less
 	writeTimeout  = 5 * time.Second         // for an answer to a client that doesn't read
 	quietFor      = 200 * time.Millisecond  // without a request, until a client that is sent away is closed
+	streamBuffer  = 64 << 10                // bytes that the system holds of a large answer for a client
 	lingerFor     = 500 * time.Millisecond  // for the body of a request that was refused unread
 	readyPath     = "/health/ready"
 )
@@ -35,8 +41,11 @@
 	host        string
 	key         string // Idempotency-Key
 	contentType string
-	body        []byte
-	came        policy.Time // when its last byte had been read
+	body        []byte      // the whole body; of a large one its beginning
+	rest        *upload     // what comes behind that; nil: nothing
+	length      int64       // of the whole body; -1 where it isn't told
+	claim       *claim      // of the room for it
+	came        policy.Time // when its last byte had been read, or the beginning of a large body
 	clientWaits time.Duration
 	reply       chan answer // holds one, so the loop never waits for the client
 }
@@ -47,6 +56,14 @@
 	body        []byte
 	contentType string
 	retryAfter  time.Duration
+	more        *download // the rest of a large body, which goes on as it comes; nil: there is none
+	claim       *claim    // of the room for the body
+}
+
+// drop is for an answer that nobody gets.
+func (a answer) drop() {
+	a.claim.free()
+	a.more.end(errUnwanted)
 }
 
 // server takes requests from clients, hands them to the loop, and writes the loop's answers.
@@ -54,17 +71,23 @@
 	loop    *loop
 	classes map[string]policy.Class
 	life    lifecycle
+	room    *room
+	pieces  sync.Pool // of *[pieceSize]byte
 	http    http.Server
 }
 
 func newServer(c Config, l *loop) *server {
-	s := &server{loop: l, classes: make(map[string]policy.Class)}
+	s := &server{loop: l, classes: make(map[string]policy.Class), room: l.up.room,
+		pieces: sync.Pool{New: func() any { return new([pieceSize]byte) }}}
 	for _, class := range c.Settings.Classes {
 		s.classes[class.Name] = class
 	}
 	s.http = http.Server{
 		Handler: s, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdle,
 		DisableGeneralOptionsHandler: true,
+		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
+			return context.WithValue(ctx, clientKey{}, c)
+		},
 		ConnState: func(c net.Conn, state http.ConnState) {
 			if c, ok := c.(*clientConn); ok {
 				c.change(state)
@@ -74,13 +97,32 @@
 	return s
 }
 
+// clientKey is under which a request's context holds its connection.
+type clientKey struct{}
+
+// clientOf is the connection that a request came on; nil where others accepted it.
+func clientOf(r *http.Request) *clientConn {
+	c, _ := r.Context().Value(clientKey{}).(*clientConn)
+	return c
+}
+
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
-	// net/http takes the length from a transfer coding and drops what Content-Length says, and ignores
-	// the coding in HTTP/1.0: what one side takes for a body, the other may take for a request. Clients
-	// of the protocol send lengths, so whatever else comes is refused, and nothing behind it is read.
-	if len(r.TransferEncoding) > 0 || !r.ProtoAtLeast(1, 1) {
-		reject(w, http.StatusBadRequest, "want version 1.1, and Content-Length for a body")
+	c := clientOf(r)
+	switch {
+	case !r.ProtoAtLeast(1, 1): // net/http ignores a transfer coding there
+		reject(w, http.StatusBadRequest, "want version 1.1")
 		return
+	case c == nil && len(r.TransferEncoding) > 0: // nobody saw the head that net/http read
+		reject(w, http.StatusBadRequest, "want Content-Length for a body")
+		return
+	case c != nil:
+		if problem := c.flaws().problem(); problem != "" {
+			reject(w, http.StatusBadRequest, problem)
+			return
+		}
+	}
+	if r.ContentLength != 0 { // so that an answer needn't wait for a body that nobody wants
+		_ = http.NewResponseController(w).EnableFullDuplex() // fails only where others than net/http serve
 	}
 	if r.URL.Path == readyPath && r.Method == http.MethodGet {
 		if r.ContentLength != 0 { // net/http would wait for it, with no end
@@ -95,20 +137,146 @@
 		reject(w, status, problem)
 		return
 	}
+	defer x.claim.free()
+	var broken <-chan struct{}
+	if x.rest != nil {
+		broken = x.rest.left
+	}
 	s.loop.send(arrival{x})
 	select {
 	case a := <-x.reply:
-		if s.life.endsConnections() { // said as late as can be: clients may have been sent away meanwhile
-			w.Header().Set("Connection", "close")
-		}
-		write(w, a)
+		s.answer(w, r, x, a)
 	case <-r.Context().Done():
-		s.loop.send(departure{x})
+		s.depart(x)
+		panic(http.ErrAbortHandler) // else one who only ended its sending would be told 200
+	case <-broken:
+		s.depart(x)
+		status, problem := bodyProblem(x.rest.failure())
+		reject(w, status, problem)
 	case <-s.loop.done:
 		w.WriteHeader(http.StatusBadGateway)
 	}
 }
 
+// depart tells the loop that a request's client has left, and drops an answer that came just then.
+func (s *server) depart(x *exchange) {
+	told := make(chan struct{})
+	s.loop.send(departure{x, told})
+	select {
+	case <-told:
+	case <-s.loop.done:
+	}
+	select {
+	case a := <-x.reply:
+		a.drop()
+	default:
+	}
+}
+
+// answer gives a client its answer. Clients are told as late as can be that the connection ends with it, for
+// they may have been sent away meanwhile.
+func (s *server) answer(w http.ResponseWriter, r *http.Request, x *exchange, a answer) {
+	if s.life.endsConnections() || len(r.TransferEncoding) > 0 { // behind a coding, heads go by unseen
+		w.Header().Set("Connection", "close")
+	}
+	if x.rest != nil && !x.rest.whole() {
+		w.Header().Set("Connection", "close")
+		defer s.swallow(w, x)
+	}
+	defer a.claim.free()
+	if a.more == nil {
+		write(w, a)
+		return
+	}
+	if c := clientOf(r); c != nil { // else megabytes wait in the system for a client that reads slowly
+		_ = c.SetWriteBuffer(streamBuffer)
+	}
+	err := s.pass(w, a)
+	a.more.end(err)
+	if err != nil {
+		slog.Info("a large answer was not passed on whole", "id", x.req.ID, "err", err)
+		panic(http.ErrAbortHandler) // so that the client can tell
+	}
+}
+
+// swallow takes in the rest of a large body whose request was answered before it had come, for as long as it
+// comes at a proper pace: many clients read their answer only once all is written, and a close would take it
+// from them.
+func (s *server) swallow(w http.ResponseWriter, x *exchange) {
+	x.claim.free()
+	if x.rest.begun.Swap(true) { // an attempt has it
+		x.rest.stop()
+		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerFor)) // as in reject
+		return
+	}
+	if err := http.NewResponseController(w).Flush(); err != nil {
+		return
+	}
+	piece := s.pieces.Get().(*[pieceSize]byte)
+	defer s.pieces.Put(piece)
+	for {
+		if _, err := x.rest.Read(piece[:]); err != nil {
+			return
+		}
+	}
+}
+
+// pass hands on a large answer, each piece as it comes.
+func (s *server) pass(w http.ResponseWriter, a answer) error {
+	conn := http.NewResponseController(w)
+	piece := s.pieces.Get().(*[pieceSize]byte)
+	defer s.pieces.Put(piece)
+	h := w.Header()
+	if a.contentType != "" {
+		h.Set("Content-Type", a.contentType)
+	}
+	if a.more.length >= 0 {
+		h.Set("Content-Length", strconv.FormatInt(a.more.length, 10))
+	}
+	w.WriteHeader(a.status)
+	forward := func(p []byte) error {
+		for len(p) > 0 {
+			n := min(len(p), pieceSize)
+			_ = conn.SetWriteDeadline(time.Now().Add(writeTimeout))
+			if _, err := w.Write(p[:n]); err != nil {
+				return fmt.Errorf("client: %w", err)
+			}
+			p = p[n:]
+		}
+		if err := conn.Flush(); err != nil {
+			return fmt.Errorf("client: %w", err)
+		}
+		return nil
+	}
+	if err := forward(a.body); err != nil {
+		return err
+	}
+	a.claim.shrink(pieceSize)
+	for {
+		n, err := a.more.rest.Read(piece[:])
+		if err := forward(piece[:n]); n > 0 && err != nil {
+			return err
+		}
+		if err == io.EOF {
+			return nil
+		}
+		if err != nil {
+			return fmt.Errorf("server: %w", err)
+		}
+	}
+}
+
+// bodyProblem is what a client is told whose body could not be read.
+func bodyProblem(err error) (status int, problem string) {
+	switch {
+	case errors.Is(err, errTooLarge):
+		return http.StatusRequestEntityTooLarge, err.Error()
+	case errors.Is(err, errTooSlow) || errors.Is(err, os.ErrDeadlineExceeded):
+		return http.StatusRequestTimeout, errTooSlow.Error()
+	}
+	return http.StatusBadRequest, "the body can't be read"
+}
+
 // reject answers a request that is not to be served, and ends its connection: where its body ends is
 // in doubt, and what follows it is not to be trusted.
 func reject(w http.ResponseWriter, status int, problem string) {
@@ -166,28 +334,66 @@
 		return nil, http.StatusBadRequest, "Idempotency-Key: missing"
 	}
 	if r.ContentLength > maxBody { // not a byte of it need be read
-		return nil, http.StatusRequestEntityTooLarge, "the body is over 64 KiB"
+		return nil, http.StatusRequestEntityTooLarge, errTooLarge.Error()
 	}
-	conn := http.NewResponseController(w)
-	_ = conn.SetReadDeadline(time.Now().Add(headerTimeout)) // fails only on connections that are gone
-	body, err := io.ReadAll(r.Body)
-	if err != nil {
-		return nil, http.StatusBadRequest, "the body can't be read"
+	x = &exchange{method: method, length: r.ContentLength}
+	if err := s.take(w, r, x); err != nil {
+		x.claim.free()
+		status, problem = bodyProblem(err)
+		return nil, status, problem
 	}
-	// From now on net/http reads on to notice a client that leaves, which may take as long as the answer.
-	_ = conn.SetReadDeadline(time.Time{})
-	if method == http.MethodGet && len(body) > 0 {
+	if method == http.MethodGet && len(x.body) > 0 {
+		x.claim.free()
 		return nil, http.StatusBadRequest, "a GET has no body"
 	}
 	hint, _ := strconv.ParseUint(h.Get("X-Cost-Hint"), 10, 32) // a guess; none is as good as a bad one
-	return &exchange{
-		req: policy.Request{ID: id, Class: class.Name, Tenant: h.Get("X-Tenant"), Key: h.Get("X-Key"),
-			Hint: time.Duration(hint) * time.Microsecond, Retry: h.Get("X-Retry") == "1"},
-		method: method, url: r.URL, host: r.Host, key: h.Get("Idempotency-Key"),
-		contentType: h.Get("Content-Type"), body: body, came: s.loop.clock.now(),
-		// No client waits longer than its class allows, whatever it says.
-		clientWaits: min(time.Duration(waits)*time.Millisecond, class.Deadline), reply: make(chan answer, 1),
-	}, 0, ""
+	x.req = policy.Request{ID: id, Class: class.Name, Tenant: h.Get("X-Tenant"), Key: h.Get("X-Key"),
+		Hint: time.Duration(hint) * time.Microsecond, Retry: h.Get("X-Retry") == "1"}
+	x.url, x.host, x.key, x.contentType = r.URL, r.Host, h.Get("Idempotency-Key"), h.Get("Content-Type")
+	x.came, x.reply = s.loop.clock.now(), make(chan answer, 1)
+	// No client waits longer than its class allows, whatever it says.
+	x.clientWaits = min(time.Duration(waits)*time.Millisecond, class.Deadline)
+	return x, 0, ""
+}
+
+// take reads a body that is small whole, and of a large one as much as is held; the rest goes on as it comes.
+func (s *server) take(w http.ResponseWriter, r *http.Request, x *exchange) (err error) {
+	if x.length == 0 {
+		return nil
+	}
+	var began time.Time
+	if c := clientOf(r); c != nil {
+		began = c.expect(x.length)
+	}
+	room, hold := s.room.requests, x.length
+	switch {
+	case x.length < 0:
+		hold = wholeBody + 1 // the last byte tells whether it is large
+	case x.length > wholeBody:
+		room, hold = s.room.largeRequests, wholeBody
+	}
+	if x.claim, err = take(r.Context(), room, hold); err != nil {
+		return err
+	}
+	var ago time.Duration
+	if !began.IsZero() {
+		ago = time.Since(began)
+	}
+	up := newUpload(w, r.Body, ago)
+	x.body = make([]byte, hold)
+	n, err := io.ReadFull(up, x.body)
+	switch x.body = x.body[:n]; {
+	case err == nil && x.length != hold:
+		x.rest = up
+		return nil
+	case err == nil:
+		return nil
+	case x.length < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF) && up.failure() == nil:
+		x.claim.shrink(int64(n))
+		x.body, x.length = slices.Clone(x.body), int64(n)
+		return nil
+	}
+	return err
 }
 
 // usableID guards the table of requests and the header it goes on in.
@@ -237,8 +443,10 @@
 
 	// Under the owner's mutex.
 	quiet *linked.Element // its place there; nil while a request is in it
-	since time.Time       // when it became quiet
+	since time.Time       // when it became quiet, or ceased to be
 	gone  bool
+	watch headWatch
+	stash []byte // read, but not let through yet
 }
 
 func newClients(l net.Listener, most int) *clients {
@@ -331,7 +539,7 @@
 // hangUp closes a quiet connection, unless a request has come that nobody has read yet: one that meets
 // a close is turned back unheard.
 func (c *clientConn) hangUp() bool {
-	if !quiet(c.TCPConn) {
+	if len(c.stash) > 0 || !quiet(c.TCPConn) {
 		return false
 	}
 	c.forget()
@@ -342,6 +550,9 @@
 // Read also notes that a request begins: net/http says so only once it has the whole head. Bytes are
 // taken under the owner's mutex, so that none are in nobody's hands when it looks for quiet connections.
 func (c *clientConn) Read(p []byte) (n int, err error) {
+	if n = c.unstash(p); n > 0 || len(p) == 0 {
+		return n, nil
+	}
 	waited := c.raw.Read(func(fd uintptr) bool {
 		c.owner.mu.Lock()
 		defer c.owner.mu.Unlock()
@@ -353,6 +564,10 @@
 		}
 		if n > 0 {
 			c.become(http.StateActive)
+			whole := p[:n]
+			if n = c.watch.pass(whole); n < len(whole) {
+				c.stash = append(c.stash, whole[n:]...)
+			}
 		}
 		return err != syscall.EAGAIN
 	})
@@ -361,12 +576,45 @@
 		return 0, waited
 	case err != nil:
 		return 0, os.NewSyscallError("read", err)
-	case n == 0 && len(p) > 0:
+	case n == 0:
 		return 0, io.EOF
 	}
 	return n, nil
 }
 
+// unstash takes from what was read before.
+func (c *clientConn) unstash(p []byte) int {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if len(c.stash) == 0 {
+		return 0
+	}
+	n := c.watch.pass(p[:copy(p, c.stash)])
+	if c.stash = c.stash[n:]; len(c.stash) == 0 {
+		c.stash = nil
+	}
+	if n > 0 {
+		c.become(http.StateActive)
+	}
+	return n
+}
+
+// flaws are those of the head of the request in hand.
+func (c *clientConn) flaws() headFlaws {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	return c.watch.flaws
+}
+
+// expect lets a body of the given length through next, or all that comes where that is below 0, and
+// returns when the request began to come.
+func (c *clientConn) expect(length int64) (began time.Time) {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	c.watch.body = length
+	return c.since
+}
+
 // change follows the connection's state.
 func (c *clientConn) change(state http.ConnState) {
 	c.owner.mu.Lock()
@@ -385,7 +633,7 @@
 		c.rest()
 	case state == http.StateActive && c.quiet != nil:
 		l.quiet.Remove(c.quiet)
-		c.quiet = nil
+		c.quiet, c.since = nil, time.Now()
 	}
 	l.room.Signal()
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -18,9 +18,11 @@
 )
 
 const (
-	maxBody         = 64 << 10 // bytes that a request or an answer may hold
-	maxInterim      = 8        // 1xx answers ahead of the final one
+	framing         = 8 // bytes that a chunked body may bring for each of its own
+	maxInterim      = 8 // 1xx answers ahead of the final one
 	defaultConnIdle = 60 * time.Second
+	stallLimit      = 10 * time.Second       // without a byte, for a body on its way
+	earlyAnswer     = 250 * time.Millisecond // to take in what a server says before it has the whole request
 	// restFor is how long a connection rests after an answer. Answers carry no id: what comes right
 	// behind one would be taken for the next one's, were the connection used again at once.
 	restFor = 3 * time.Millisecond
@@ -40,6 +42,7 @@
 	dialer  net.Dialer
 	idleFor time.Duration // an idle connection is dropped after this
 	report  []string      // names of the figures of a load report, in order
+	room    *room         // for bodies
 	readers sync.Pool     // of *bufio.Reader
 	writers sync.Pool     // of *bytes.Buffer
 
@@ -71,7 +74,7 @@
 	return &upstream{
 		dialer:  net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1},
 		idleFor: idle / 2, // what is written just as the server closes would end as a reset
-		report:  c.Settings.Report, pools: make(map[string]*pool), most: most,
+		report:  c.Settings.Report, room: newRoom(c.MemoryMB), pools: make(map[string]*pool), most: most,
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		writers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
 	}
@@ -283,6 +286,7 @@
 	code   policy.Code
 	answer answer // for OK
 	report []float64
+	upload time.Duration // that a large body took to go on: no fault of the server's
 
 	// For the log.
 	opened bool          // a new connection was opened for it, or was to be
@@ -291,96 +295,297 @@
 	err    error         // the network's own word, where it broke
 }
 
-// attempt sends x to the server once, and waits for the whole answer until ctx ends. Ending ctx
-// closes the connection, which is how a server learns that nobody waits.
-func (u *upstream) attempt(ctx context.Context, id string, x *exchange) result {
+// attemptHost is told how an attempt goes.
+type attemptHost struct {
+	until    time.Time           // when it times out; a large body puts that off by the time it takes
+	uploaded func(time.Duration) // a large body went on whole; not called for others
+	end      func(result)        // called once, with a large answer as it begins to come
+}
+
+var errTimeUp = errors.New("the attempt's time is up")
+
+// attempt sends x to the server once, and waits for the answer until its time is up or ctx ends, which
+// closes the connection: so a server learns that nobody waits. It tells its end, and returns when the
+// last byte of an answer has gone on.
+func (u *upstream) attempt(ctx context.Context, id string, x *exchange, host attemptHost) {
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := time.AfterFunc(time.Until(host.until), func() { cancel(errTimeUp) })
+	defer limit.Stop()
+	if x.rest != nil {
+		limit.Stop() // until it has gone on
+	}
 	c, err := u.acquire(ctx, id)
 	switch {
 	case errors.Is(err, errNoSockets) && ctx.Err() == nil:
-		return result{code: policy.Moot} // nothing was sent, and the server is not to blame
+		host.end(result{code: policy.Moot}) // nothing was sent, and the server is not to blame
+		return
 	case err != nil:
-		return result{code: broken(ctx, err, false), opened: !errors.Is(err, errUnknown), err: err}
+		host.end(result{code: broken(ctx, err, false), opened: !errors.Is(err, errUnknown), err: err})
+		return
 	}
 	uses, idle := c.uses, time.Duration(0)
 	if uses > 0 {
 		idle = time.Since(c.used)
 	}
 	stop := context.AfterFunc(ctx, func() { c.Close() })
-	r, reusable := u.exchange(ctx, c, x)
+	t := &try{upstream: u, c: c, x: x, host: host, limit: limit}
+	r, reusable := t.exchange(ctx)
+	r.opened, r.uses, r.idle, r.upload = uses == 0, uses, idle, t.upload
+	more := r.answer.more
+	if more == nil {
+		u.release(c, id, stop() && reusable)
+		host.end(r)
+		return
+	}
+	if !limit.Stop() { // it was up just before
+		r.answer.drop()
+		r.answer, r.code = answer{}, policy.TimedOut
+	} // else what a server still gives is not cut off
+	host.end(r)
+	err = <-more.ended
+	reusable = err == nil && !t.resp.Close && t.in.Buffered() == 0 && c.SetReadDeadline(time.Time{}) == nil
+	t.putBack()
 	u.release(c, id, stop() && reusable)
-	r.opened, r.uses, r.idle = uses == 0, uses, idle
-	return r
 }
 
-// exchange writes x and reads its answer. The request can't have run before its last byte is written.
-func (u *upstream) exchange(ctx context.Context, c *conn, x *exchange) (r result, reusable bool) {
-	out := u.writers.Get().(*bytes.Buffer)
-	defer u.writers.Put(out)
+// try is one attempt on its connection.
+type try struct {
+	*upstream
+	c      *conn
+	x      *exchange
+	host   attemptHost
+	limit  *time.Timer
+	upload time.Duration
+	in     *bufio.Reader
+	source io.LimitedReader // of in: bounds a head, and a body that is held
+	resp   *http.Response
+}
+
+func (t *try) putBack() {
+	t.in.Reset(nil)
+	t.readers.Put(t.in)
+	t.in = nil
+}
+
+// exchange writes the request and reads its answer. The request can't have run before its last byte is
+// written.
+func (t *try) exchange(ctx context.Context) (r result, reusable bool) {
+	early, err := false, error(nil)
+	if t.x.rest == nil {
+		err = t.write(ctx)
+	} else {
+		early, err = t.stream(ctx)
+	}
+	if err != nil && !early {
+		code := broken(ctx, err, false)
+		if t.x.rest != nil && t.x.rest.failure() != nil {
+			code = policy.Cancelled // by the client, not by the server
+		}
+		return result{code: code, err: err}, false
+	}
+	t.in = t.readers.Get().(*bufio.Reader)
+	r, reusable = t.read(ctx)
+	if early { // whatever it answers, the request did not come whole
+		r.answer.drop()
+		r.answer, reusable = answer{}, false
+		if r.code != policy.Full {
+			r.code = policy.ConnectFailed
+		}
+	}
+	if r.answer.more == nil {
+		t.putBack()
+	}
+	return r, reusable
+}
+
+// write sends a request that is held whole.
+func (t *try) write(ctx context.Context) error {
+	out := t.writers.Get().(*bytes.Buffer)
+	defer t.writers.Put(out)
 	out.Reset()
-	if err := u.request(ctx, c.pool.addr, x).Write(out); err != nil {
-		return result{code: broken(ctx, err, false), err: err}, false
+	if err := t.request(t.x).Write(out); err != nil {
+		return err
 	}
-	if _, err := c.Write(out.Bytes()); err != nil {
-		return result{code: broken(ctx, err, false), err: err}, false
+	_, err := t.c.Write(out.Bytes())
+	return err
+}
+
+// stream sends a request on as its body comes. A server may answer before that: with a refusal, most
+// likely, and then the rest is of no use.
+func (t *try) stream(ctx context.Context) (early bool, err error) {
+	began := time.Now()
+	done := make(chan error, 1)
+	go func() { done <- t.request(t.x).Write(stallWriter{t.c.TCPConn}) }()
+	answered := make(chan struct{})
+	go func() { // reads nothing, and ends with the connection
+		defer close(answered)
+		t.c.readable()
+	}()
+	select {
+	case err = <-done:
+	case <-answered:
+		select {
+		case err = <-done:
+		default:
+			t.x.rest.stop()
+			_ = t.c.SetWriteDeadline(time.Unix(1, 0))
+			err = <-done
+			early = err != nil
+		}
 	}
-	in := u.readers.Get().(*bufio.Reader)
-	defer u.readers.Put(in)
-	resp, body, err := read(in, c, x.method)
-	in.Reset(nil)
 	if err != nil {
-		return result{code: broken(ctx, err, true), err: err}, false
-	}
-	r = result{code: policy.ServerError, report: loadReport(resp.Header.Get("X-Load"), u.report)}
-	switch resp.StatusCode {
-	case http.StatusOK:
-		r.code = policy.OK
-		r.answer = answer{status: http.StatusOK, body: body, contentType: resp.Header.Get("Content-Type")}
-	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
-		if resp.Header.Get("X-Not-Run") == "1" { // without it, it may have run
-			r.code = policy.Full
+		if early && ctx.Err() == nil {
+			t.limit.Reset(earlyAnswer)
 		}
+		return early && ctx.Err() == nil, err
 	}
-	return r, !resp.Close
+	if err := t.c.SetWriteDeadline(time.Time{}); err != nil {
+		return false, err
+	}
+	t.upload = time.Since(began)
+	t.host.uploaded(t.upload)
+	t.limit.Reset(time.Until(t.host.until.Add(t.upload)))
+	<-answered
+	return false, nil
 }
 
-// read takes one whole answer from the connection, within bounds on its head and its body; resp.Close
-// tells that the connection serves no other. What doesn't fit its framing is no answer: a body
-// without a length could have lost its end unseen, and bytes behind a body that begin no answer may
-// be its rest.
-func read(in *bufio.Reader, c io.Reader, method string) (resp *http.Response, body []byte, err error) {
-	limit := &io.LimitedReader{R: c}
-	in.Reset(limit)
+// readable waits until there is something to read, or the connection has ended.
+func (c *conn) readable() {
+	raw, err := c.SyscallConn()
+	if err != nil {
+		return
+	}
+	_ = raw.Read(func(fd uintptr) bool { // whatever ends it shows at the next read
+		var b [1]byte
+		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		return err != syscall.EAGAIN
+	})
+}
+
+// stallWriter writes for as long as the other side goes on reading.
+type stallWriter struct{ *net.TCPConn }
+
+func (w stallWriter) Write(p []byte) (n int, err error) {
+	for n < len(p) && err == nil {
+		var m int
+		_ = w.SetWriteDeadline(time.Now().Add(stallLimit))
+		m, err = w.TCPConn.Write(p[n:min(len(p), n+pieceSize)])
+		n += m
+	}
+	return n, err
+}
+
+// stallReader reads for as long as the other side goes on writing, up to a limit.
+type stallReader struct {
+	conn *net.TCPConn
+	from io.Reader
+	left int64
+}
+
+func (r *stallReader) Read(p []byte) (int, error) {
+	if r.left <= 0 {
+		return 0, errSpoilt
+	}
+	_ = r.conn.SetReadDeadline(time.Now().Add(stallLimit))
+	n, err := r.from.Read(p)
+	r.left -= int64(n)
+	return n, err
+}
+
+// read takes an answer from the connection, within bounds on its head and its body; reusable tells
+// that the connection serves another. A small one is taken whole; of a large one the rest is left to
+// whoever passes it on. What doesn't fit its framing is no answer: bytes behind a body that begin no
+// answer may be its rest.
+func (t *try) read(ctx context.Context) (r result, reusable bool) {
+	fail := func(err error) (result, bool) {
+		return result{code: broken(ctx, err, true), err: spoilt(err, t.source.N == 0)}, false
+	}
+	t.source.R = t.c
+	t.in.Reset(&t.source)
+	var err error
 	for i := 0; ; i++ {
-		limit.N = maxHeader
-		resp, err = http.ReadResponse(in, &http.Request{Method: method})
+		t.source.N = maxHeader
+		t.resp, err = http.ReadResponse(t.in, &http.Request{Method: t.x.method})
 		if err != nil {
-			return nil, nil, spoilt(err, limit.N == 0)
+			return t.broke(ctx, err)
 		}
-		if resp.StatusCode >= 200 {
+		if t.resp.StatusCode >= 200 {
 			break
 		}
-		if i == maxInterim || resp.StatusCode < 100 || resp.StatusCode == http.StatusSwitchingProtocols {
-			return nil, nil, errSpoilt
+		if i == maxInterim || t.resp.StatusCode < 100 || t.resp.StatusCode == http.StatusSwitchingProtocols {
+			return fail(errSpoilt)
 		}
 	}
-	if resp.ContentLength > maxBody || resp.ContentLength < 0 && len(resp.TransferEncoding) == 0 {
-		return nil, nil, errSpoilt
+	if t.resp.ContentLength > maxBody {
+		return fail(errSpoilt)
 	}
-	limit.N = 2 * maxBody // a chunked body brings the lengths of its parts
-	body, err = io.ReadAll(io.LimitReader(resp.Body, maxBody+1))
-	if err != nil {
-		return nil, nil, spoilt(err, limit.N == 0)
+	r = result{code: policy.ServerError, report: loadReport(t.resp.Header.Get("X-Load"), t.report)}
+	switch t.resp.StatusCode {
+	case http.StatusOK:
+		r.code = policy.OK
+		r.answer = answer{status: http.StatusOK, contentType: t.resp.Header.Get("Content-Type")}
+	case http.StatusServiceUnavailable, http.StatusGatewayTimeout:
+		if t.resp.Header.Get("X-Not-Run") == "1" { // without it, it may have run
+			r.code = policy.Full
+		}
 	}
-	if len(body) > maxBody {
-		return nil, nil, errSpoilt
+	if err := t.body(ctx, &r); err != nil {
+		r.answer.claim.free()
+		return t.broke(ctx, err)
 	}
-	if n := in.Buffered(); n > 0 {
-		resp.Close = true
-		if behind, _ := in.Peek(min(n, len(statusLine))); string(behind) != statusLine[:len(behind)] {
-			return nil, nil, errSpoilt
+	if r.answer.more != nil {
+		return r, false
+	}
+	if n := t.in.Buffered(); n > 0 {
+		t.resp.Close = true
+		if behind, _ := t.in.Peek(min(n, len(statusLine))); string(behind) != statusLine[:len(behind)] {
+			r.answer.claim.free()
+			return fail(errSpoilt)
 		}
 	}
-	return resp, body, nil
+	return r, !t.resp.Close
+}
+
+// broke is the outcome of an answer that did not come whole.
+func (t *try) broke(ctx context.Context, err error) (result, bool) {
+	err = spoilt(err, t.source.N == 0)
+	return result{code: broken(ctx, err, true), err: err}, false
+}
+
+// body reads an answer's body, or the beginning of one that is large: its length says so, or more comes
+// than is held.
+func (t *try) body(ctx context.Context, r *result) (err error) {
+	length := t.resp.ContentLength
+	if r.code != policy.OK { // nobody gets it
+		t.source.N = framing * wholeBody
+		n, err := io.Copy(io.Discard, io.LimitReader(t.resp.Body, wholeBody+1))
+		t.resp.Close = t.resp.Close || n > wholeBody
+		return err
+	}
+	a := &r.answer
+	large := length > wholeBody
+	if large {
+		a.claim, err = take(ctx, t.room.largeAnswers, pieceSize)
+	} else if length != 0 {
+		hold := length
+		if hold < 0 {
+			hold = wholeBody + 1
+		}
+		if a.claim, err = take(ctx, t.room.answers, hold); err != nil {
+			return err
+		}
+		t.source.N = framing * wholeBody
+		a.body, err = io.ReadAll(io.LimitReader(t.resp.Body, hold))
+		large = len(a.body) > wholeBody
+		a.claim.shrink(int64(len(a.body)))
+	}
+	if err == nil && large {
+		t.source.N = framing * maxBody
+		a.more = &download{length: length, ended: make(chan error, 1),
+			rest: &stallReader{conn: t.c.TCPConn, from: t.resp.Body, left: maxBody - int64(len(a.body))}}
+	}
+	return err
 }
 
 // statusLine is how an answer begins.
@@ -397,12 +602,13 @@
 // broken names the outcome of an attempt that brought no answer. One whose last byte was never
 // written can't have run, also where its time is up; when unsure, it may have run.
 func broken(ctx context.Context, err error, mayRun bool) policy.Code {
+	timeUp := errors.Is(context.Cause(ctx), errTimeUp)
 	switch {
-	case errors.Is(ctx.Err(), context.Canceled):
+	case ctx.Err() != nil && !timeUp:
 		return policy.Cancelled
 	case !mayRun:
 		return policy.ConnectFailed
-	case ctx.Err() != nil:
+	case timeUp:
 		return policy.TimedOut
 	case errors.Is(err, errSpoilt):
 		return policy.ServerError
@@ -411,9 +617,9 @@
 }
 
 // request makes the copy of x that a server gets.
-func (u *upstream) request(ctx context.Context, addr string, x *exchange) *http.Request {
+func (t *try) request(x *exchange) *http.Request {
 	to := *x.url
-	to.Scheme, to.Host = "http", addr
+	to.Scheme, to.Host = "http", t.c.pool.addr
 	req := &http.Request{Method: x.method, URL: &to, Host: x.host, Proto: "HTTP/1.1", ProtoMajor: 1,
 		ProtoMinor: 1, Header: make(http.Header)}
 	req.Header["User-Agent"] = []string{""} // nothing is added in the client's name
@@ -423,16 +629,28 @@
 			req.Header.Set(name, v)
 		}
 	}
-	if end, ok := ctx.Deadline(); ok {
-		left := max(1, time.Until(end).Milliseconds())
-		req.Header.Set("X-Deadline-Ms", strconv.FormatInt(left, 10))
-	}
-	if len(x.body) > 0 {
+	left := max(1, time.Until(t.host.until).Milliseconds())
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(left, 10))
+	switch {
+	case x.rest != nil:
+		req.Body, req.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(x.body), goesOn{x})), x.length
+	case len(x.body) > 0:
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(x.body)), int64(len(x.body))
 	}
 	return req
 }
 
+// goesOn is the part of a large body that is not held. Once it is read, none of the body is.
+type goesOn struct{ x *exchange }
+
+func (g goesOn) Read(p []byte) (int, error) {
+	if !g.x.rest.begun.Swap(true) {
+		g.x.body = nil
+		g.x.claim.shrink(pieceSize)
+	}
+	return g.x.rest.Read(p)
+}
+
 // maxReported is more than any figure of a load report can be.
 const maxReported = 1e9
 
