Close to make room what costs clients least, and lend them free descriptors

Ruled out: the servers (36 attempts out) and the processor (0.2 s a second).

Design: all connections that owe the node a request or its rest stand in one line by when they last said something. Room is made by those without a request, then by those that ceased where they began, then by new ones, and last by requests that go on coming; never by a whole request, nor over bytes unread. Clients borrow half of what servers leave free; a server that needs a descriptor takes it back from one that is waited for. The summary tells how many clients there are and how many were closed to make room.

Not taken: a shorter time for heads, as clients may take 2 s.

--- a/internal/node/head.go
+++ b/internal/node/head.go
@@ -9,6 +9,7 @@
 	body  int64 // bytes of a body that are still to come; below 0: no more heads are seen
 	in    headFlaws
 	flaws headFlaws // of the last head that went through whole
+	heads int       // that did
 
 	line  int // bytes of the line so far
 	cr    bool
@@ -67,6 +68,7 @@
 	w.line, w.cr = 0, false
 	if empty {
 		w.flaws, w.in = w.in, headFlaws{}
+		w.heads++
 	}
 	return empty
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -63,6 +63,7 @@
 	allowed policy.Allowed
 	maxOpen int
 	up      *upstream
+	clients *clients // for the log
 	disc    *discovery
 
 	events   chan any
@@ -170,7 +171,11 @@
 		case now := <-sweep.C:
 			l.up.sweep(now)
 		case <-summary.C:
-			l.trace.summary(l.owed, fmt.Sprint(l.module))
+			open, evicted := 0, 0
+			if l.clients != nil {
+				open, evicted = l.clients.counts()
+			}
+			l.trace.summary(l.owed, open, evicted, fmt.Sprint(l.module))
 		case <-ctx.Done():
 			return
 		}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -62,6 +62,8 @@
 	}
 	s := newServer(c, l)
 	clients := newClients(doors.Clients, most)
+	clients.spare, up.lent, up.yield = up.spare, clients.borrowed, clients.yield
+	l.clients = clients
 	s.life.closeQuiet = clients.closeQuiet
 	defer s.life.end()
 	if doors.Operators != nil { // before all else, so that operators can ask how the start goes
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -28,6 +28,7 @@
 	clientIdle    = 15 * time.Second        // without a request; under pressure it is less
 	writeTimeout  = 5 * time.Second         // for an answer to a client that doesn't read
 	quietFor      = 200 * time.Millisecond  // without a request, until a client that is sent away is closed
+	freshFor      = 50 * time.Millisecond   // without a request, for which a connection is held to bring one
 	streamBuffer  = 64 << 10                // bytes that the system holds of a large answer for a client
 	lingerFor     = 500 * time.Millisecond  // for the body of a request that was refused unread
 	readyPath     = "/health/ready"
@@ -137,6 +138,7 @@
 		reject(w, r, status, problem)
 		return
 	}
+	c.engage()
 	defer x.claim.free()
 	var broken <-chan struct{}
 	if x.rest != nil {
@@ -426,17 +428,18 @@
 }
 
 // clients is the listener for clients. It bounds their connections, and where they get too many it
-// makes room by closing those that have been without a request for longest: clients who connect and
-// say nothing, or keep what they don't use, must not keep others out.
+// makes room by closing one of those that the node waits for: clients who connect and say nothing, stop half-way, or keep what they don't use, must not keep others out.
 type clients struct {
 	net.Listener
-	most int
+	spare func() int // descriptors that servers leave for clients, beyond most; nil: none
 
-	mu     sync.Mutex
-	room   sync.Cond
-	open   int
-	quiet  linked.List // of the *clientConn without a request, the longest so in front
-	closed bool
+	mu      sync.Mutex
+	room    sync.Cond
+	most    int
+	open    int
+	waiting linked.List // of the *clientConn that owe the node a request or its rest, the longest silent in front
+	evicted int         // closed to make room, since the last summary
+	closed  bool
 }
 
 // clientConn is one connection of a client.
@@ -446,8 +449,9 @@
 	owner *clients
 
 	// Under the owner's mutex.
-	quiet *linked.Element // its place there; nil while a request is in it
-	since time.Time       // when it became quiet, or ceased to be
+	place *linked.Element // among those waited for; nil while a whole request is in it
+	since time.Time       // when it last said something, or had its answer
+	began time.Time       // when its request began to come; zero before that
 	gone  bool
 	watch headWatch
 	stash []byte // read, but not let through yet
@@ -471,13 +475,35 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for l.open++; l.open > l.most && !l.evict() && !l.closed; {
+	for l.open++; l.open > l.limit() && !l.evict() && !l.closed; {
 		l.room.Wait() // each has a request in it: one will end
 	}
 	c.rest()
 	return c, nil
 }
 
+// limit is how many connections there may be now.
+func (l *clients) limit() int {
+	if l.spare == nil {
+		return l.most
+	}
+	return l.most + max(0, l.spare())
+}
+
+// yield gives servers back a descriptor that was lent to clients, if one of these can be closed for it.
+func (l *clients) yield() bool {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return l.open > l.most && l.evict()
+}
+
+// borrowed is how many descriptors of the servers clients have.
+func (l *clients) borrowed() int {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	return max(0, l.open-l.most)
+}
+
 func (l *clients) Close() error {
 	l.mu.Lock()
 	l.closed = true
@@ -486,28 +512,51 @@
 	return l.Listener.Close()
 }
 
-// evict closes the connection that has been quiet for longest, if there is one.
+// evict closes the connection that costs its client least, if there is one that the node waits for. One
+// without a request is opened anew; half a request is lost, but one that ceased where it began most likely
+// never comes, whereas one that goes on coming does; and who has only just come or spoken is not judged yet.
+// Of each, it is the one that has been silent for longest.
 func (l *clients) evict() bool {
-	for e := l.quiet.Front(); e != nil; e = e.Next() {
-		if e.Value.(*clientConn).hangUp() {
-			return true
+	const kinds = 4
+	fresh := time.Now().Add(-freshFor)
+	for kind := range kinds {
+		for e := l.waiting.Front(); e != nil; e = e.Next() {
+			if c := e.Value.(*clientConn); c.kind(fresh) == kind && c.hangUp() {
+				l.evicted++
+				return true
+			}
 		}
 	}
 	return false
 }
 
+// kind tells in which order connections are closed to make room.
+func (c *clientConn) kind(fresh time.Time) int {
+	old := c.since.Before(fresh)
+	switch {
+	case old && c.began.IsZero():
+		return 0
+	case old && c.since.Equal(c.began):
+		return 1
+	case c.began.IsZero():
+		return 2
+	}
+	return 3
+}
+
 // closeQuiet closes the connections that have been without a request for a moment. One that is new, or
 // just had its answer, may be about to bring a request.
 func (l *clients) closeQuiet(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	for e := l.quiet.Front(); e != nil; {
+	for e := l.waiting.Front(); e != nil; {
 		c := e.Value.(*clientConn)
 		if now.Sub(c.since) < quietFor {
-			return // the others are quiet for less
+			break // the others are quiet for less
+		}
+		if e = e.Next(); c.began.IsZero() {
+			c.hangUp()
 		}
-		e = e.Next()
-		c.hangUp()
 	}
 	l.room.Signal()
 }
@@ -517,7 +566,7 @@
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	l.most = most
-	for l.open > l.most && l.evict() {
+	for l.open > l.limit() && l.evict() {
 	}
 	l.room.Signal()
 }
@@ -535,13 +584,61 @@
 	return l.open
 }
 
-// rest puts a connection in the line of the quiet ones.
+// counts tells the log of the connections, and begins to count evictions anew.
+func (l *clients) counts() (open, evicted int) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	open, evicted, l.evicted = l.open, l.evicted, 0
+	return open, evicted
+}
+
+// rest puts a connection at the end of those waited for: it owes a request.
 func (c *clientConn) rest() {
-	c.quiet, c.since = c.owner.quiet.PushBack(c), time.Now()
+	c.since, c.began = time.Now(), time.Time{}
+	if c.place == nil {
+		c.place = c.owner.waiting.PushBack(c)
+	} else {
+		c.owner.waiting.MoveToBack(c.place)
+	}
 }
 
-// hangUp closes a quiet connection, unless a request has come that nobody has read yet: one that meets
-// a close is turned back unheard.
+// let returns how many bytes of what a client said go on now. With a whole head the node owes the next step,
+// until it expects a body.
+func (c *clientConn) let(p []byte) int {
+	if c.place != nil {
+		c.since = time.Now()
+		if c.began.IsZero() {
+			c.began = c.since
+		}
+		c.owner.waiting.MoveToBack(c.place)
+	}
+	heads := c.watch.heads
+	n := c.watch.pass(p)
+	if c.watch.heads != heads {
+		c.leaveLine()
+	}
+	return n
+}
+
+// engage notes that a body has come, as far as it is held: now the client waits for the node.
+func (c *clientConn) engage() {
+	if c == nil {
+		return
+	}
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	c.leaveLine()
+}
+
+func (c *clientConn) leaveLine() {
+	if c.place != nil {
+		c.owner.waiting.Remove(c.place)
+		c.place = nil
+	}
+}
+
+// hangUp closes a connection that the node waits for, unless something has come that nobody has read yet: a
+// request that meets a close is turned back unheard.
 func (c *clientConn) hangUp() bool {
 	if len(c.stash) > 0 || !quiet(c.TCPConn) {
 		return false
@@ -567,9 +664,8 @@
 			}
 		}
 		if n > 0 {
-			c.become(http.StateActive)
 			whole := p[:n]
-			if n = c.watch.pass(whole); n < len(whole) {
+			if n = c.let(whole); n < len(whole) {
 				c.stash = append(c.stash, whole[n:]...)
 			}
 		}
@@ -593,13 +689,10 @@
 	if len(c.stash) == 0 {
 		return 0
 	}
-	n := c.watch.pass(p[:copy(p, c.stash)])
+	n := c.let(p[:copy(p, c.stash)])
 	if c.stash = c.stash[n:]; len(c.stash) == 0 {
 		c.stash = nil
 	}
-	if n > 0 {
-		c.become(http.StateActive)
-	}
 	return n
 }
 
@@ -616,38 +709,31 @@
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
 	c.watch.body = length
-	return c.since
+	if c.place == nil && !c.gone {
+		c.place = c.owner.waiting.PushBack(c)
+	}
+	return c.began
 }
 
 // change follows the connection's state.
 func (c *clientConn) change(state http.ConnState) {
-	c.owner.mu.Lock()
-	defer c.owner.mu.Unlock()
-	c.become(state)
-}
-
-func (c *clientConn) become(state http.ConnState) {
 	l := c.owner
+	l.mu.Lock()
+	defer l.mu.Unlock()
 	switch {
-	case c.gone || state == http.StateNew:
+	case c.gone:
 		return
 	case state == http.StateClosed || state == http.StateHijacked:
 		c.forget()
-	case state == http.StateIdle && c.quiet == nil:
+	case state == http.StateIdle:
 		c.rest()
-	case state == http.StateActive && c.quiet != nil:
-		l.quiet.Remove(c.quiet)
-		c.quiet, c.since = nil, time.Now()
 	}
 	l.room.Signal()
 }
 
 // forget takes the connection out of the count.
 func (c *clientConn) forget() {
-	if c.quiet != nil {
-		c.owner.quiet.Remove(c.quiet)
-		c.quiet = nil
-	}
+	c.leaveLine()
 	c.gone = true
 	c.owner.open--
 }
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -151,8 +151,8 @@
 }
 
 // summary writes the counts since the last one, and what the module goes by.
-func (t *trace) summary(open int, state string) {
-	slog.Info("summary", "arrived", t.arrived, "served", t.served, "refused", t.refused, "failed", t.failed,
+func (t *trace) summary(open, clients, evicted int, state string) {
+	slog.Info("summary", "clients", clients, "evicted", evicted, "arrived", t.arrived, "served", t.served, "refused", t.refused, "failed", t.failed,
 		"gone", t.gone, "open", open, "attempts", t.outcomes, "opened", t.opened,
 		"lines_left_out", t.skipped, "servers", t.ended(), "module", state)
 	*t = trace{second: t.second, lines: t.lines}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -11,6 +11,7 @@
 	"strconv"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -46,10 +47,15 @@
 	readers sync.Pool     // of *bufio.Reader
 	writers sync.Pool     // of *bytes.Buffer
 
+	// Clients borrow descriptors that are not in use here, and give them back; nil: there are none to lend to.
+	lent  func() int
+	yield func() bool
+
 	mu    sync.Mutex
 	pools map[string]*pool
-	open  int // connections, those being made among them
-	most  int // that may be open: the rest of the descriptors is the clients'
+	open  int          // connections, those being made among them
+	most  int          // that may be open: the rest of the descriptors is the clients'
+	free  atomic.Int64 // of them; read without the mutex
 }
 
 // pool holds the idle connections to one process of one server, the last used at the end.
@@ -71,13 +77,15 @@
 	if idle == 0 {
 		idle = defaultConnIdle
 	}
-	return &upstream{
+	u := &upstream{
 		dialer:  net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1},
 		idleFor: idle / 2, // what is written just as the server closes would end as a reset
 		report:  c.Settings.Report, room: newRoom(c.MemoryMB), pools: make(map[string]*pool), most: most,
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		writers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
 	}
+	u.count(0)
+	return u
 }
 
 // update follows the list. A server that moved or started anew gets a new pool: what was open to its
@@ -134,7 +142,7 @@
 		c.Close()
 	}
 	p.idle = append([]*conn(nil), p.idle[n:]...)
-	u.open -= n
+	u.count(-n)
 }
 
 // closeIdle drops the idle connections to one server.
@@ -158,7 +166,7 @@
 				continue
 			}
 			c.Close()
-			u.open--
+			u.count(-1)
 		}
 		p.idle = kept
 	}
@@ -223,21 +231,40 @@
 			return p, c, nil
 		}
 		c.Close()
-		u.open--
+		u.count(-1)
 	}
-	if u.open >= u.most && !u.evict() {
+	if !u.makeRoom() {
 		return nil, nil, errNoSockets
 	}
-	u.open++
+	u.count(1)
 	return p, nil, nil
 }
 
+// makeRoom finds a descriptor for one more connection: a free one, one lent to clients, or an idle one's.
+func (u *upstream) makeRoom() bool {
+	if u.open >= u.most {
+		return u.evict()
+	}
+	return u.lent == nil || u.open+u.lent() < u.most || u.yield() || u.evict()
+}
+
+// count follows the number of open connections.
+func (u *upstream) count(n int) {
+	u.open += n
+	u.free.Store(int64(u.most - u.open))
+}
+
+// spare is how many descriptors clients may borrow: half of the free ones.
+func (u *upstream) spare() int { return int(u.free.Load() / 2) }
+
 // bound changes how many connections there may be; idle ones beyond it are closed.
 func (u *upstream) bound(most int) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for u.most = most; u.open > u.most && u.evict(); {
+	u.most = most
+	for u.open > u.most && u.evict() {
 	}
+	u.count(0)
 }
 
 func (u *upstream) bounded() int {
@@ -248,7 +275,7 @@
 
 func (u *upstream) unreserve() {
 	u.mu.Lock()
-	u.open--
+	u.count(-1)
 	u.mu.Unlock()
 }
 
@@ -278,7 +305,7 @@
 		return
 	}
 	c.Close()
-	u.open--
+	u.count(-1)
 }
 
 // result is how an attempt ended.
