Take a connection out of the line of the waited for with its last byte

Ruled out by logging each close and each end of a read: drains (none), deadlines (no read ended by one but net/http's own), and clients (a true departure shows as an end of reading). Left was the room made for others: between the last byte of a body and engage() in ServeHTTP the connection still stood in the line, and the node was off its core for 110 ms just then.

Now the last byte itself takes it out, under the mutex that it is read under. Bodies whose end nobody sees there (coded, large) are not in the line at all; they have a pace to keep. The test closes a connection with a whole body that no handler has seen yet, without the change.

--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -76,6 +76,23 @@
 	const new = -time.Hour // never old enough while the test runs
 	goesOn := add("GET / HT", old, older)
 	add("GET / HTTP/1.1\r\nHost: a\r\n\r\n", older, older) // whole
+	for _, body := range []struct {
+		length int64
+		text   string
+	}{{3, "sum"}, {-1, "3\r\nsum\r\n"}, {wholeBody + 1, "sum"}} { // whole, coded, large
+		theirs, ours := dial()
+		says(t, theirs, ours, "POST / HTTP/1.1\r\nHost: a\r\n\r\n")
+		ours.expect(body.length)
+		says(t, theirs, ours, body.text)
+	}
+	theirs, ours := dial()
+	says(t, theirs, ours, "POST / HTTP/1.1\r\nHost: a\r\n\r\n")
+	ours.expect(3)
+	says(t, theirs, ours, "su")
+	l.mu.Lock()
+	ours.since, ours.began = now.Add(-older), now.Add(-2*older)
+	l.mu.Unlock()
+	halfBody := ours
 	stuckLast := add("GET / HT", old, old)
 	freshQuiet := add("", new, 0)
 	freshHalf := add("G", new, new)
@@ -86,7 +103,7 @@
 		t.Fatal(err)
 	}
 	await(t, "the bytes", func() bool { return !quiet(unread.TCPConn) })
-	want = []*clientConn{quietFirst, quietLast, stuckLast, freshQuiet, goesOn, freshHalf}
+	want = []*clientConn{quietFirst, quietLast, stuckLast, freshQuiet, goesOn, halfBody, freshHalf}
 	for i, c := range want {
 		l.mu.Lock()
 		evicted := l.evict()
@@ -98,8 +115,8 @@
 	}
 	l.mu.Lock()
 	defer l.mu.Unlock()
-	if l.evict() || l.open != 2 {
-		t.Errorf("%d open; want the one with a whole request and the one with bytes unread", l.open)
+	if l.evict() || l.open != 5 {
+		t.Errorf("%d open; want those with a whole request or a paced body, and the one with bytes unread", l.open)
 	}
 }
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -138,7 +138,6 @@
 		reject(w, r, status, problem)
 		return
 	}
-	c.engage()
 	defer x.claim.free()
 	var broken <-chan struct{}
 	if x.rest != nil {
@@ -602,8 +601,8 @@
 	}
 }
 
-// let returns how many bytes of what a client said go on now. With a whole head the node owes the next step,
-// until it expects a body.
+// let returns how many bytes of what a client said go on now. With a whole head, or a whole body, the node
+// owes the next step.
 func (c *clientConn) let(p []byte) int {
 	if c.place != nil {
 		c.since = time.Now()
@@ -612,24 +611,14 @@
 		}
 		c.owner.waiting.MoveToBack(c.place)
 	}
-	heads := c.watch.heads
+	heads, body := c.watch.heads, c.watch.body
 	n := c.watch.pass(p)
-	if c.watch.heads != heads {
-		c.leaveLine()
+	if c.watch.heads != heads || body > 0 && c.watch.body == 0 {
+		c.leaveLine() // at once: by the time that its handler runs, it might have made room for another
 	}
 	return n
 }
 
-// engage notes that a body has come, as far as it is held: now the client waits for the node.
-func (c *clientConn) engage() {
-	if c == nil {
-		return
-	}
-	c.owner.mu.Lock()
-	defer c.owner.mu.Unlock()
-	c.leaveLine()
-}
-
 func (c *clientConn) leaveLine() {
 	if c.place != nil {
 		c.owner.waiting.Remove(c.place)
@@ -709,7 +698,7 @@
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
 	c.watch.body = length
-	if c.place == nil && !c.gone {
+	if 0 < length && length <= wholeBody && c.place == nil && !c.gone { // others have a pace to keep
 		c.place = c.owner.waiting.PushBack(c)
 	}
 	return c.began
