Count a large body as gone out whole also when its answer outruns the writer's word

TestLargeBodyIsSentOnce failed once bodies were paced: a request that its server had whole, and answered, counted as "could not connect", which promises that it never ran. stream in upstream.go took any answer before the writer's word for an early one, and net/http looks for more behind the last byte of a body whose length is told before it says that it is done. Now nothing is looked for behind the last byte, and where the client's body has been read to its end the writer is waited for. The test fails without the two (undone once).

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -253,6 +253,27 @@
 	}
 }
 
+// An answer that comes as soon as the last byte is out is no early one, though the writer has not said yet
+// that it is done: the request ran.
+func TestAnswerOnTheHeelsOfTheBody(t *testing.T) {
+	const rest = 128 << 10
+	for _, length := range []int64{wholeBody + rest, -1} {
+		for range 10 {
+			addr := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+				if swallow(r) {
+					_, _ = io.WriteString(c, "HTTP/1.1 503 F\r\nContent-Length: 0\r\n\r\n")
+				}
+			})
+			x := streamed(t, "r1", bytes.NewReader(large(rest)), length)
+			x.rest.flow.rate = 4 << 20 // so that one more look for the end takes a while
+			r := attemptAt(t.Context(), testUpstream(t, addr), "s0", x, time.Now().Add(long))
+			if r.code != policy.ServerError {
+				t.Fatalf("length %d: %v, %v; want an error that may have run", length, r.code, r.err)
+			}
+		}
+	}
+}
+
 // A client that breaks its own body off is not the server's fault, and its request never ran.
 func TestBrokenUploadIsTheClients(t *testing.T) {
 	var whole atomic.Int32
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -452,14 +452,13 @@
 	select {
 	case err = <-done:
 	case <-answered:
-		select {
-		case err = <-done:
-		default:
+		// Between its last byte and the writer's word there may be a moment, and what went out whole may have run.
+		if !t.x.rest.whole() {
 			t.x.rest.stop()
 			_ = t.c.SetWriteDeadline(time.Unix(1, 0))
-			err = <-done
-			early = err != nil
 		}
+		err = <-done
+		early = err != nil
 	}
 	if err != nil {
 		if early && ctx.Err() == nil {
@@ -664,7 +663,11 @@
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(left, 10))
 	switch {
 	case x.rest != nil:
-		req.Body, req.ContentLength = io.NopCloser(io.MultiReader(bytes.NewReader(x.body), goesOn{x})), x.length
+		body := io.MultiReader(bytes.NewReader(x.body), goesOn{x})
+		if x.length >= 0 { // net/http looks for more, which may take until the answer has come
+			body = io.LimitReader(body, x.length)
+		}
+		req.Body, req.ContentLength = io.NopCloser(body), x.length
 	case len(x.body) > 0:
 		req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(x.body)), int64(len(x.body))
 	}
