Serve what has come already before a connection ends, and let its client read the answer

Design: while clients are sent away, an answer ends its connection only if nothing stands behind it, eight times at most; a connection that had an answer is closed for sending first, and what comes is read for half a second, 256 KB at most. Not taken: reading on to the end of what is behind, which may never come.

--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -184,3 +185,33 @@
 		t.Errorf("%d clients left, want both", l.left())
 	}
 }
+
+// What stands behind the last request is not read, but its client still gets the answer.
+func TestAnswerIsNotLostToWhatIsBehind(t *testing.T) {
+	_, dial := testClients(t, 2)
+	theirs, ours := dial()
+	if err := ours.SetWriteBuffer(1 << 20); err != nil {
+		t.Fatal(err)
+	}
+	says(t, theirs, ours, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	if _, err := io.WriteString(theirs, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the bytes behind", func() bool { return unread(ours.TCPConn) })
+	answer := large(200 << 10) // more than is on its way at once: the rest waits in the system
+	if _, err := ours.Write(answer); err != nil {
+		t.Fatal(err)
+	}
+	ours.answered()
+	closed := make(chan error, 1)
+	go func() { closed <- ours.Close() }()
+	await(t, "the end of writing", func() bool { _, err := ours.Write([]byte("x")); return err != nil })
+	got, err := io.ReadAll(theirs)
+	if err != nil || !bytes.Equal(got[:min(len(got), len(answer))], answer) {
+		t.Errorf("%d bytes, %v; want all %d and the end", len(got), err, len(answer))
+	}
+	theirs.Close()
+	if err := receive(t, "the close", closed); err != nil {
+		t.Error(err)
+	}
+}
--- a/internal/node/lifecycle_test.go
+++ b/internal/node/lifecycle_test.go
@@ -231,3 +231,47 @@
 		t.Error("a connection was closed under a request")
 	}
 }
+
+// Clients that are sent away get the answers to all requests that have come, one behind another, and the
+// last of them ends the connection.
+func TestRequestsBehindOneAnotherAreServedBeforeTheEnd(t *testing.T) {
+	hold, held := make(chan struct{}), make(chan struct{}, 1)
+	addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		if r.Header.Get("X-Request-Id") == "r0" {
+			held <- struct{}{}
+			<-hold
+		}
+	})
+	node, operator := startWithDoor(t, testConfig(t, knownList(addr)))
+	c, err := net.Dial("tcp", node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	for i := range 3 {
+		if err := clientRequest(t, node, "GET", "read", fmt.Sprint("r", i), "").Write(c); err != nil {
+			t.Fatal(err)
+		}
+	}
+	receive(t, "the first request", held)
+	call(t, operator, "POST", "/standby")
+	other, err := net.Dial("tcp", node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer other.Close()
+	if n, err := other.Read(make([]byte, 1)); n != 0 || err != io.EOF { // from then on connections end
+		t.Errorf("an idle connection: %d, %v; want its end", n, err)
+	}
+	close(hold)
+	in := bufio.NewReader(c)
+	for i := range 3 {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != 200 || resp.Close != (i == 2) {
+			t.Fatalf("answer %d: %v, %v", i, resp, err)
+		}
+	}
+	if _, err := in.ReadByte(); err != io.EOF {
+		t.Errorf("behind the last answer: %v, want the end", err)
+	}
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -30,7 +30,9 @@
 	quietFor      = 200 * time.Millisecond  // without a request, until a client that is sent away is closed
 	freshFor      = 50 * time.Millisecond   // without a request, for which a connection is held to bring one
 	streamBuffer  = 64 << 10                // bytes that the system holds of a large answer for a client
-	lingerFor     = 500 * time.Millisecond  // for the body of a request that was refused unread
+	lingerFor     = 500 * time.Millisecond  // for the body of a request that was refused unread, or what is behind it
+	lingerBytes   = 256 << 10               // of that
+	mostSpared    = 8                       // requests behind one another on a connection that is to end
 	readyPath     = "/health/ready"
 )
 
@@ -177,9 +179,11 @@
 // answer gives a client its answer. Clients are told as late as can be that the connection ends with it, for
 // they may have been sent away meanwhile.
 func (s *server) answer(w http.ResponseWriter, r *http.Request, x *exchange, a answer) {
-	if s.life.endsConnections() || len(r.TransferEncoding) > 0 { // behind a coding, heads go by unseen
+	c := clientOf(r)
+	if s.life.endsConnections() && !c.spare() || len(r.TransferEncoding) > 0 { // behind a coding, heads go by unseen
 		w.Header().Set("Connection", "close")
 	}
+	defer c.answered()
 	if x.rest != nil && !x.rest.whole() {
 		w.Header().Set("Connection", "close")
 		defer s.swallow(w, x)
@@ -189,7 +193,7 @@
 		write(w, a)
 		return
 	}
-	if c := clientOf(r); c != nil { // else megabytes wait in the system for a client that reads slowly
+	if c != nil { // else megabytes wait in the system for a client that reads slowly
 		_ = c.SetWriteBuffer(streamBuffer)
 	}
 	err := s.pass(w, a)
@@ -450,6 +454,9 @@
 	gone  bool
 	watch headWatch
 	stash []byte // read, but not let through yet
+
+	served bool // it has had an answer
+	spared int  // times that it was not ended for the request behind
 }
 
 func newClients(l net.Listener, most int) *clients {
@@ -590,6 +597,9 @@
 // rest puts a connection at the end of those waited for: it owes a request.
 func (c *clientConn) rest() {
 	c.since, c.began = time.Now(), time.Time{}
+	if c.watch.line > 0 { // net/http looks ahead by a byte
+		c.began = c.since
+	}
 	if c.place == nil {
 		c.place = c.owner.waiting.PushBack(c)
 	} else {
@@ -622,6 +632,46 @@
 	}
 }
 
+// more tells whether a request that the node has not taken up stands behind the one in hand.
+func (c *clientConn) more() bool {
+	return len(c.stash) > 0 || c.watch.line > 0 || unread(c.TCPConn)
+}
+
+// spare tells whether the connection is to stay open though clients are sent away: for a request that has
+// come already, but not for ever.
+func (c *clientConn) spare() bool {
+	if c == nil {
+		return false
+	}
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.spared >= mostSpared || !c.more() {
+		return false
+	}
+	c.spared++
+	return true
+}
+
+func (c *clientConn) answered() {
+	if c != nil {
+		c.owner.mu.Lock()
+		c.served = true
+		c.owner.mu.Unlock()
+	}
+}
+
+// Close lets a client read its answer before bytes that nobody reads any more would reset the connection.
+func (c *clientConn) Close() error {
+	c.owner.mu.Lock()
+	lingers := c.served && !c.gone && c.more()
+	c.owner.mu.Unlock()
+	if lingers && c.CloseWrite() == nil {
+		_ = c.SetReadDeadline(time.Now().Add(lingerFor))
+		_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
+	}
+	return c.TCPConn.Close()
+}
+
 // hangUp closes a connection that the node waits for, unless something has come that nobody has read yet: a
 // request that meets a close is turned back unheard.
 func (c *clientConn) hangUp() bool {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -178,17 +178,29 @@
 // quiet tells whether a connection is open and has brought nothing that is still to be read. It
 // doesn't wait for whoever is reading.
 func quiet(c *net.TCPConn) bool {
+	_, err := peek(c)
+	return err == syscall.EAGAIN
+}
+
+// unread tells whether a connection has brought something that is still to be read.
+func unread(c *net.TCPConn) bool {
+	n, _ := peek(c)
+	return n > 0
+}
+
+// peek looks at what has come, and leaves it there.
+func peek(c *net.TCPConn) (n int, err error) {
 	raw, err := c.SyscallConn()
 	if err != nil {
-		return false
+		return 0, err
 	}
-	quiet := false
-	err = raw.Control(func(fd uintptr) {
+	if failed := raw.Control(func(fd uintptr) {
 		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-		quiet = err == syscall.EAGAIN
-	})
-	return quiet && err == nil
+		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+	}); failed != nil {
+		return 0, failed
+	}
+	return n, err
 }
 
 // acquire takes an idle connection to the server, or makes one.
