Hold large requests whole while there is room

A large request took up a server, and a place under its threshold, for as long as its body came: seconds, at 64 kB a second. Up to 1 MiB it is now held whole if a sixteenth of the memory has room for it at once, so it is sent when it has come, and can be sent again. Else it goes on as it comes, as before; nobody waits for that room. Not taken: holding all of them, which would make requests wait behind slow ones.

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -33,7 +33,7 @@
 	for _, s := range []interface {
 		TryAcquire(int64) bool
 		Release(int64)
-	}{r.requests, r.answers, r.largeRequests, r.largeAnswers} {
+	}{r.requests, r.answers, r.largeRequests, r.largeAnswers, r.held} {
 		if !s.TryAcquire(leastRoom) {
 			return false
 		}
@@ -553,3 +553,70 @@
 		t.Errorf("told %q", got)
 	}
 }
+
+// While there is room, a large body is held whole: it takes up no server while it comes, and is sent again
+// where the first server can't be reached any more. Without room it goes on as it comes.
+func TestLargeBodyIsHeldWhileThereIsRoom(t *testing.T) {
+	const size = heldBody
+	body := large(size)
+	for _, room := range []bool{true, false} {
+		begun, whole := make(chan struct{}, 1), make(chan int64, 1)
+		addr := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+			if _, err := r.Peek(1); err != nil {
+				return
+			}
+			begun <- struct{}{}
+			req, err := http.ReadRequest(r)
+			if err != nil {
+				return
+			}
+			n, _ := io.Copy(io.Discard, req.Body)
+			whole <- n
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
+		})
+		l, _ := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
+			if e, ok := ev.(policy.Request); ok {
+				return sends(e.ID, 1)
+			}
+			return nil
+		})
+		if !room {
+			c := tryTake(l.up.room.held, int64(roomPart*64*(1<<20)))
+			if c == nil {
+				t.Fatal("no room from the start")
+			}
+			defer c.free()
+		}
+		node := httpServer(t, newServer(testConfig(t, knownList(addr)), l).ServeHTTP)
+		from, to := io.Pipe()
+		req := clientRequest(t, node, "POST", "pay", "r1", "x")
+		req.Body, req.ContentLength = from, size
+		answered := make(chan int, 1)
+		go func() {
+			resp, err := http.DefaultClient.Do(req)
+			if err != nil {
+				answered <- 0
+				return
+			}
+			resp.Body.Close()
+			answered <- resp.StatusCode
+		}()
+		_, _ = to.Write(body[:size-1])
+		if !room {
+			receive(t, "the beginning of a body that isn't held", begun)
+		}
+		select {
+		case <-begun:
+			t.Error("a body that is held went on before it was whole")
+		default:
+		}
+		_, _ = to.Write(body[size-1:])
+		to.Close()
+		if n := receive(t, "the body", whole); n != size {
+			t.Errorf("room %v: %d bytes", room, n)
+		}
+		if status := receive(t, "the answer", answered); status != 200 {
+			t.Errorf("room %v: %d", room, status)
+		}
+	}
+}
--- a/internal/node/room.go
+++ b/internal/node/room.go
@@ -11,6 +11,7 @@
 	wholeBody = 64 << 10 // bytes up to which a body is held whole
 	maxBody   = 32 << 20 // and that it may have at all
 	pieceSize = 16 << 10 // in which longer ones go on
+	heldBody  = 1 << 20  // bytes up to which a request is held whole if there is room
 	roomPart  = 1.0 / 16 // of the memory, for the bytes of bodies on each side, the small and the large apart
 	leastRoom = 2 * wholeBody
 )
@@ -21,6 +22,7 @@
 type room struct {
 	requests, answers           *semaphore.Weighted
 	largeRequests, largeAnswers *semaphore.Weighted
+	held                        *semaphore.Weighted // for large requests that are held whole while there is room
 
 	rate float64 // bytes a second at which one large body goes on
 }
@@ -28,7 +30,7 @@
 func newRoom(memoryMB int64, cores float64) *room {
 	most := max(leastRoom, int64(roomPart*float64(memoryMB<<20)))
 	part := func() *semaphore.Weighted { return semaphore.NewWeighted(most) }
-	return &room{requests: part(), answers: part(), largeRequests: part(), largeAnswers: part(),
+	return &room{requests: part(), answers: part(), largeRequests: part(), largeAnswers: part(), held: part(),
 		rate: flowRate * cores}
 }
 
@@ -48,6 +50,14 @@
 	return &claim{of: of, bytes: bytes}, nil
 }
 
+// tryTake takes room if there is some at once; else it returns nil.
+func tryTake(of *semaphore.Weighted, bytes int64) *claim {
+	if !of.TryAcquire(bytes) {
+		return nil
+	}
+	return &claim{of: of, bytes: bytes}
+}
+
 // shrink gives back what is more than bytes.
 func (c *claim) shrink(bytes int64) {
 	if c == nil {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -376,9 +376,17 @@
 		hold = wholeBody + 1 // the last byte tells whether it is large
 	case x.length > wholeBody:
 		room, hold = s.room.largeRequests, wholeBody
+		// Held whole, it takes up a server only once all of it has come, and can be sent again.
+		if x.length <= heldBody {
+			if x.claim = tryTake(s.room.held, x.length); x.claim != nil {
+				hold = x.length
+			}
+		}
 	}
-	if x.claim, err = take(r.Context(), room, hold); err != nil {
-		return err
+	if x.claim == nil {
+		if x.claim, err = take(r.Context(), room, hold); err != nil {
+			return err
+		}
 	}
 	var ago time.Duration
 	if !began.IsZero() {
