--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -284,3 +284,14 @@
 	}
 	next.leave()
 }
+
+// A folder that can't be used costs the handover, not the start.
+func TestUnusableFolderIsAPlainStart(t *testing.T) {
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) {})
+	c := testConfig(t, knownList(addr))
+	c.Handover = filepath.Join(t.TempDir(), "none")
+	node, _ := startNode(t, c)
+	if resp, _ := do(t, clientRequest(t, node, "GET", "read", "r1", "")); resp.StatusCode != 200 {
+		t.Errorf("status %d", resp.StatusCode)
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -30,10 +30,7 @@
 // and returns. Discovery follows the addresses that come from moves.
 func Run(ctx context.Context, c Config, doors Doors, moves <-chan string) error {
 	ck := clock{start: time.Now()}
-	h, old, err := succeed(&c)
-	if err != nil {
-		return err
-	}
+	h, old := succeed(&c)
 	if h != nil {
 		defer h.leave()
 	}
@@ -112,28 +109,29 @@
 }
 
 // succeed takes this process's place among the node's, and what the one before it has left.
-func succeed(c *Config) (*handover, legacy, error) {
+func succeed(c *Config) (*handover, legacy) {
 	if c.Handover == "" {
-		return nil, legacy{}, nil
+		return nil, legacy{}
 	}
 	h, err := join(c.Handover)
-	if err != nil {
-		return nil, legacy{}, fmt.Errorf("handover: %w", err)
+	if err != nil { // it can serve all the same, and the clients' socket is there
+		slog.Warn("handover: none, for the folder is of no use", "err", err)
+		return nil, legacy{}
 	}
 	if h.before == 0 {
-		return h, legacy{}, nil
+		return h, legacy{}
 	}
 	old, err := h.read(h.before, time.Now())
 	if err != nil {
 		slog.Warn("handover: starting without the old process's word", "err", err)
-		return h, legacy{}, nil
+		return h, legacy{}
 	}
 	slog.Info("handover: taking over", "servers", len(old.Members), "revision", old.Revision, "standby", old.Standby,
 		"age", time.Since(old.Saved))
 	if len(old.Members) > 0 {
 		c.Known = list{Revision: old.Revision, Complete: true, Members: old.Members}
 	}
-	return h, old, nil
+	return h, old
 }
 
 // drain ends the service. Clients go on coming for a while, and go on using the connections that they
