Log when a list was asked for and heard, and the last request to each leaving server

A request that went to a draining server and was served left no line, so the way from an announcement to the last send could not be followed. Each list that takes servers out now tells when it was asked for and heard, and names, within the usual bound of lines, the last request that went to each of them.

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -214,7 +214,7 @@
 			}
 			return nil
 		})
-		l.send(news{policy.ListReplace, members(t, c.servers...), 1})
+		l.send(news{kind: policy.ListReplace, members: members(t, c.servers...), revision: 1})
 		x := streamed(t, "r1", bytes.NewReader(large(4<<20)), wholeBody+4<<20)
 		x.came, x.clientWaits = l.clock.now(), long
 		l.send(arrival{x})
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -95,9 +95,10 @@
 
 // news is what discovery has to tell the loop.
 type news struct {
-	kind     policy.ListKind
-	members  []member
-	revision int64
+	kind         policy.ListKind
+	members      []member
+	revision     int64
+	asked, heard time.Time // the call and its last byte, for the log; zero for a list that no call brought
 }
 
 // discovery watches the list of servers from a connection of its own.
@@ -184,15 +185,16 @@
 
 // turn makes one call, and pauses after one that failed.
 func (d *discovery) turn(ctx context.Context, backoff time.Duration) (bool, time.Duration) {
+	asked := time.Now()
 	l, err := d.watch(ctx)
 	switch {
 	case err == nil:
-		d.learn(l)
+		d.learn(l, asked)
 		return true, 0
 	case ctx.Err() != nil: // moved, or the end
 		return true, 0
 	case d.subscribe: // the module says when to try again
-		slog.Warn("discovery: a watch failed", "err", err)
+		slog.Warn("discovery: a watch failed", "after", time.Since(asked), "revision", d.revision, "err", err)
 		d.tell(news{kind: policy.ListUnavailable})
 		return false, 0
 	}
@@ -266,13 +268,14 @@
 }
 
 // learn passes on what a watch brought. An empty delta is told only where the module awaits an answer.
-func (d *discovery) learn(l list) {
+func (d *discovery) learn(l list, asked time.Time) {
 	d.revision, d.whole = l.Revision, false
-	switch {
-	case l.Complete:
-		d.tell(news{policy.ListReplace, l.Members, l.Revision})
-	case len(l.Members) > 0 || d.subscribe:
-		d.tell(news{policy.ListUpdate, l.Members, l.Revision})
+	n := news{kind: policy.ListUpdate, members: l.Members, revision: l.Revision, asked: asked, heard: time.Now()}
+	if l.Complete {
+		n.kind = policy.ListReplace
+	}
+	if l.Complete || len(l.Members) > 0 || d.subscribe {
+		d.tell(n)
 	}
 }
 
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -70,8 +70,9 @@
 	done     chan struct{} // closed when the loop has ended
 	ready    chan struct{} // closed when the known list is in
 	requests map[string]*request
-	members  map[string]member // the list as it stands
-	listedAt int64             // its revision
+	members  map[string]member  // the list as it stands
+	listedAt int64              // its revision
+	lastSent map[string]sending // to each server listed; for the log
 	used     ids
 	owed     int // requests without their answer
 	timers   timers
@@ -101,6 +102,12 @@
 	took time.Duration
 }
 
+// sending is the last attempt that went to a server.
+type sending struct {
+	id string
+	at policy.Time
+}
+
 // The events of the loop, beside news.
 type (
 	arrival   struct{ x *exchange }
@@ -130,7 +137,7 @@
 	}
 	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up,
 		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}),
-		requests: make(map[string]*request), used: ids{seed: maphash.MakeSeed()}}
+		requests: make(map[string]*request), lastSent: make(map[string]sending), used: ids{seed: maphash.MakeSeed()}}
 	l.disc = newDiscovery(c, l.send)
 	return l, nil
 }
@@ -150,7 +157,7 @@
 	defer l.attempts.Wait()
 	defer cancel()
 	defer close(l.done)
-	l.handle(attemptsCtx, news{policy.ListRestored, known.Members, known.Revision})
+	l.handle(attemptsCtx, news{kind: policy.ListRestored, members: known.Members, revision: known.Revision})
 	close(l.ready)
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
@@ -291,7 +298,7 @@
 func (l *loop) listed(ctx context.Context, n news) {
 	if n.kind != policy.ListUnavailable {
 		l.up.update(n)
-		l.keep(n)
+		l.noteLeaving(n, l.keep(n))
 	}
 	members := make([]policy.Member, len(n.members))
 	for i, m := range n.members {
@@ -301,17 +308,51 @@
 	l.tell(ctx, policy.MemberList{Kind: n.kind, Members: members})
 }
 
-// keep holds the list together for a successor.
-func (l *loop) keep(n news) {
+// keep holds the list together for a successor, and returns the servers that were up and leave.
+func (l *loop) keep(n news) (leaving []member) {
+	old := l.members
 	if n.kind != policy.ListUpdate {
 		l.members = make(map[string]member, len(n.members))
 	}
 	l.listedAt = n.revision
 	for _, m := range n.members {
+		if was, ok := old[m.Server]; ok && was.Availability == policy.Running && m.Availability != policy.Running {
+			leaving = append(leaving, m)
+		}
 		if l.members[m.Server] = m; m.Availability == policy.Removed {
 			delete(l.members, m.Server)
 		}
 	}
+	if n.kind == policy.ListUpdate {
+		return leaving
+	}
+	listed := make(map[string]bool, len(n.members))
+	for _, m := range n.members {
+		listed[m.Server] = true
+	}
+	for id, m := range old {
+		if m.Availability == policy.Running && !listed[id] {
+			m.Availability = policy.Removed
+			leaving = append(leaving, m)
+		}
+	}
+	return leaving
+}
+
+// noteLeaving tells the log of each server that leaves, and of the last request that went there.
+func (l *loop) noteLeaving(n news, leaving []member) {
+	if len(leaving) > 0 && !n.asked.IsZero() {
+		slog.Info("list: servers leave", "servers", len(leaving), "revision", n.revision,
+			"asked_ago", time.Since(n.asked), "heard_ago", time.Since(n.heard))
+	}
+	for _, m := range leaving {
+		last, now := l.lastSent[m.Server], l.clock.now()
+		delete(l.lastSent, m.Server)
+		if last.id != "" && l.trace.mayWrite(now, "leaving") {
+			slog.Info("list: a server leaves", "server", m.Server, "draining", m.Availability == policy.Draining,
+				"last_request", last.id, "last_sent_ago", now-last.at)
+		}
+	}
 }
 
 // legacy is what a successor should know of the servers and of the module's state.
@@ -397,6 +438,7 @@
 		until = min(until, a.Until)
 	}
 	ctx, cancel := context.WithCancel(ctx)
+	l.lastSent[a.Server] = sending{a.ID, now}
 	r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: cancel})
 	l.attempts.Go(func() {
 		defer cancel()
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -19,7 +19,7 @@
 	t.Helper()
 	c := testConfig(t, knownList(addrs...))
 	u := newUpstream(c, 100)
-	u.update(news{policy.ListRestored, c.Known.Members, 0})
+	u.update(news{kind: policy.ListRestored, members: c.Known.Members})
 	t.Cleanup(u.close)
 	return u
 }
@@ -313,11 +313,11 @@
 		n    news
 		want int
 	}{
-		"same":      {news{policy.ListUpdate, []member{base}, 0}, 1},
-		"restarted": {news{policy.ListUpdate, []member{restarted}, 0}, 0},
-		"removed":   {news{policy.ListUpdate, []member{removed}, 0}, 0},
-		"no news":   {news{policy.ListUpdate, nil, 0}, 1},
-		"missing":   {news{policy.ListReplace, nil, 0}, 0},
+		"same":      {news{kind: policy.ListUpdate, members: []member{base}}, 1},
+		"restarted": {news{kind: policy.ListUpdate, members: []member{restarted}}, 0},
+		"removed":   {news{kind: policy.ListUpdate, members: []member{removed}}, 0},
+		"no news":   {news{kind: policy.ListUpdate}, 1},
+		"missing":   {news{kind: policy.ListReplace}, 0},
 	} {
 		u := testUpstream(t, addr)
 		ended(t, u, testExchange(http.MethodGet, "r1", ""))
@@ -403,10 +403,10 @@
 	u := testUpstream(t, addr)
 	next := members(t, addr)[0]
 	next.Server, next.UpSince = "s1", 5
-	u.update(news{policy.ListUpdate, []member{next}, 0})
+	u.update(news{kind: policy.ListUpdate, members: []member{next}})
 	late := members(t, addr)[0]
 	late.Availability = policy.Draining
-	u.update(news{policy.ListUpdate, []member{late}, 0}) // of the old one, and late
+	u.update(news{kind: policy.ListUpdate, members: []member{late}}) // of the old one, and late
 	if r := ended(t, u, testExchange(http.MethodGet, "r1", "")); r.code != policy.ConnectFailed {
 		t.Errorf("to the old server: code %v", r.code)
 	}
