Call a silent watch anew at once, and give it up half a second after its wait

The late link: policy.go onList gave each failed call 1 to 3 s (askAgain), which is right where discovery is down and wrong for a watch that fell silent, for that clock does not stop; and discovery.go gave a watch up only at watchWait+watchGrace, when its news counts as told already.

That call waits for 0.3 s only, so that a second silence shows soon; if it goes on failing, the next ones follow after a part of the drain grace, doubled each time, until what was missed counts as told and the grace is over. Only then does the module pace the calls, as for all other failures. - An answer that has begun has half a second for the rest, longer after each failure. One that is spoilt, cut or trickles is called for anew as soon: what it told may count. - Waits differ: 3 s and a random part of a third of a second for each node, up to 6 s. A change answers all watches together; with equal waits all would be given up together as well. Discovery was seen to serve about 3 calls a second to 6 nodes (one in 0.26 to 0.36 s) and to turn away 23 of 40 that came at once. One of 300 nodes now makes a call in 6 s, not in 5; one of 2 in 3.3 s. - After SIGHUP news counts 4 s later: calls are spread over up to a second, go out also while the module waits to call the old address again, and are repeated as above. - The module's waits stay within the time that the settings give for asking.

The tests run the loop, the module and discovery on a fake clock, against a discovery that serves calls in turn: 1 to 350 nodes whose watches fall silent together, and each way a call can break, once and twice, asked and pushed. Without the mend, all nodes that ask are late, and with 6 and more also some whose lists are pushed.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -6,23 +6,46 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"math/rand/v2"
 	"net"
 	"net/http"
+	"net/http/httptrace"
 	"net/url"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/policy"
 )
 
+// A watch that has fallen silent looks like one that has nothing to tell. What it misses counts as told
+// silentSlack after its wait is over, or silentLeast after it fell silent if that is later; the rule on drains runs
+// from then. So a call whose wait is over is given up long before that, for the next one needs time as well:
+// discovery handles calls in turn, and all watches of the fleet may have fallen silent together.
 const (
-	watchWait  = 5 * time.Second // a silent discovery is noticed soon after
-	watchGrace = 2 * time.Second // beyond watchWait, the call has failed
-	backoffMin = 25 * time.Millisecond
+	watchLeast  = 3 * time.Second // of a watch; what it misses counts as told 6 s after it fell silent at the earliest
+	callsApart  = time.Second / 3 // time between two nodes' calls that discovery was seen to keep up with where nodes are few,
+	watchSpread = 6 * time.Second // and the most that the waits of many differ by
+	silentSlack = 2 * time.Second // the protocol's, as is
+	silentLeast = 6 * time.Second
+	lateAnswer  = silentSlack / 4 // after its wait; answers were seen to come within 10 ms, on the busiest days as well
+	checkWait   = 300 * time.Millisecond
+	callLimit   = 2 * time.Second        // for an answer that has nothing to wait for
+	bodyLimit   = 500 * time.Millisecond // from an answer's first byte to its last: what it tells may count from the first
+	bodyMost    = 4 * time.Second        // the same, after such failures in a row
+	backoffMin  = 25 * time.Millisecond
 	// backoffMax guards the rule on drains: what a pushed list's agent has counts as told, also while
 	// the node pauses after a failed call.
-	backoffMax  = 200 * time.Millisecond
+	backoffMax = 200 * time.Millisecond
+	// After a move, news counts as told from movedSlack on. All nodes may be told of it together.
+	movedSlack  = 4 * time.Second
+	movedSpread = time.Second
+	movedApart  = 50 * time.Millisecond
+	// Between calls for what counts as told soon, or already does: the first takes a part of the grace, which
+	// leaves room for two more.
+	urgentPart  = 8
+	urgentMax   = time.Second
 	maxListSize = 8 << 20 // bytes of one answer; a longer one isn't a list
 )
 
@@ -111,7 +134,15 @@
 	// Only run touches these.
 	addr     string
 	revision int64
-	whole    bool // the next call asks for the whole list
+	whole    bool      // the next call asks for the whole list
+	unsure   bool      // whether discovery hears this node: the next call waits for a moment only
+	failed   int       // calls in a row
+	since    time.Time // the first of these
+	// due is when news that a broken call may have missed counts as told; zero where none is known to be.
+	due   time.Time
+	grace time.Duration // of the rule on drains, from then on
+	nodes int
+	rng   *rand.Rand
 
 	mu        sync.Mutex
 	moved     string             // the address to go on at, until run has taken it up
@@ -121,11 +152,13 @@
 func newDiscovery(c Config, tell func(any)) *discovery {
 	return &discovery{
 		addr: c.Discovery, subscribe: c.Settings.Subscribe,
-		revision: c.Known.Revision, asks: make(chan bool, 1), tell: tell, interrupt: func() {},
+		revision: c.Known.Revision, unsure: true, asks: make(chan bool, 1), tell: tell, interrupt: func() {},
+		grace: c.Settings.Rules.DrainGrace, nodes: c.Settings.Nodes,
+		rng: rand.New(rand.NewPCG(c.Seed, uint64(c.Settings.Node))),
 		client: &http.Client{
 			// A Transport of its own, so neither a proxy nor the requests share its connection.
 			Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 1,
-				DialContext: (&net.Dialer{Timeout: watchGrace}).DialContext},
+				DialContext: (&net.Dialer{Timeout: callLimit}).DialContext},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
@@ -171,7 +204,10 @@
 	for ctx.Err() == nil {
 		call, cancel, moved := d.settle(ctx)
 		if moved {
-			backoff = 0
+			// At once, or nearly, even where the module waits to call the old address again.
+			watching, backoff, d.failed, d.due = true, 0, 0, time.Now().Add(movedSlack)
+			spread := min(movedSpread, time.Duration(d.nodes)*movedApart)
+			pause(call, time.Duration(d.rng.Float64()*float64(spread)))
 		}
 		if d.subscribe {
 			watching = d.heed(call, watching)
@@ -185,26 +221,92 @@
 
 // turn makes one call, and pauses after one that failed.
 func (d *discovery) turn(ctx context.Context, backoff time.Duration) (bool, time.Duration) {
-	asked := time.Now()
-	l, err := d.watch(ctx)
+	c := d.plan()
+	l, err := d.watch(ctx, c)
 	switch {
 	case err == nil:
-		d.learn(l, asked)
+		d.learn(l, c.asked)
 		return true, 0
 	case ctx.Err() != nil: // moved, or the end
 		return true, 0
-	case d.subscribe: // the module says when to try again
-		slog.Warn("discovery: a watch failed", "after", time.Since(asked), "revision", d.revision, "err", err)
-		d.tell(news{kind: policy.ListUnavailable})
-		return false, 0
 	}
-	// Pushed lists: the last one stays, and the module need not know.
-	if backoff == 0 {
-		slog.Warn("discovery: out of reach, keeping the last list", "err", err)
+	d.miss(c, err)
+	if !d.subscribe { // the last list stays, and the module need not know
+		backoff = nextBackoff(backoff)
+		pause(ctx, backoff)
+		return true, backoff
 	}
-	backoff = nextBackoff(backoff)
-	pause(ctx, backoff)
-	return true, backoff
+	if time.Now().Before(d.due.Add(d.grace)) {
+		if c.broke { // one that fell silent has waited for long enough
+			pause(ctx, d.urgent())
+		}
+		return true, 0
+	}
+	d.due = time.Time{}
+	d.tell(news{kind: policy.ListUnavailable}) // the module says when to try again
+	return false, 0
+}
+
+// listCall is one call for the list.
+type listCall struct {
+	asked       time.Time
+	wait, limit time.Duration // that it may wait for news, and take in all
+	body        time.Duration // that its answer may take, once begun
+	began       atomic.Bool   // its answer has
+	silent      bool          // it was given up
+	broke       bool          // it ended by itself
+}
+
+// plan says how long the next call may take. The waits of many nodes differ, since a change answers all
+// their watches together: those that fall silent then are not all given up, and called anew, together.
+func (d *discovery) plan() *listCall {
+	c := &listCall{asked: time.Now(), body: min(bodyMost, bodyLimit<<min(d.failed, 10))}
+	switch {
+	case d.whole:
+		c.limit = callLimit
+	case d.unsure:
+		c.wait = checkWait
+		c.limit = c.wait + callLimit
+	default:
+		spread := min(watchSpread, time.Duration(d.nodes)*callsApart)
+		c.wait = (watchLeast + time.Duration(d.rng.Float64()*float64(spread))).Truncate(time.Millisecond)
+		c.limit = c.wait + lateAnswer
+	}
+	return c
+}
+
+// miss notes a call that failed, and by when the news that it may have missed has to be heard.
+func (d *discovery) miss(c *listCall, err error) {
+	now := time.Now()
+	if d.failed++; d.failed == 1 {
+		d.since = now
+	}
+	d.unsure = true
+	told := time.Time{}
+	switch {
+	case c.began.Load(): // some of it was written, and what was counts
+		told = now
+	case c.silent:
+		told = c.asked.Add(max(silentLeast, c.wait+silentSlack)) // at the earliest
+	}
+	if d.due.IsZero() {
+		d.due = told
+	}
+	if !d.subscribe && d.failed > 1 {
+		return // a pushed list's agent is called again soon, and often
+	}
+	what := "discovery: a watch failed"
+	if c.silent {
+		what = "discovery: a watch fell silent"
+	}
+	slog.Warn(what, "after", now.Sub(c.asked), "wait", c.wait, "revision", d.revision, "in_a_row", d.failed, "err", err)
+}
+
+// urgent is a pause between two calls for news that counts as told: longer each time, and never in step
+// with other nodes.
+func (d *discovery) urgent() time.Duration {
+	mean := min(urgentMax, max(backoffMin, d.grace/urgentPart)<<min(d.failed-1, 10))
+	return mean/2 + time.Duration(d.rng.Float64()*float64(mean))
 }
 
 // heed takes the module's newest wish; it waits for one only while there is nothing to watch.
@@ -225,18 +327,30 @@
 	}
 }
 
+var errSilent = errors.New("no answer in time")
+
 // watch makes one call, which waits for something newer than the revision held, or asks for the whole
 // list.
-func (d *discovery) watch(ctx context.Context) (list, error) {
-	wait, query := watchWait, url.Values{}
-	if d.whole {
-		wait = 0
-	} else {
+func (d *discovery) watch(ctx context.Context, c *listCall) (_ list, err error) {
+	query := url.Values{}
+	if !d.whole {
 		query.Set("index", strconv.FormatInt(d.revision, 10))
-		query.Set("wait", strconv.FormatInt(wait.Milliseconds(), 10))
+		query.Set("wait", strconv.FormatInt(c.wait.Milliseconds(), 10))
 	}
-	ctx, cancel := context.WithTimeout(ctx, wait+watchGrace)
-	defer cancel()
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	limit := time.AfterFunc(c.limit, func() { cancel(errSilent) })
+	defer limit.Stop()
+	defer func() {
+		if c.silent = err != nil && context.Cause(ctx) == errSilent; c.silent {
+			err = errSilent
+		}
+		c.broke = err != nil && !c.silent
+	}()
+	ctx = httptrace.WithClientTrace(ctx, &httptrace.ClientTrace{GotFirstResponseByte: func() {
+		c.began.Store(true)
+		limit.Reset(c.body)
+	}})
 	to := url.URL{Scheme: "http", Host: d.addr, Path: "/registry/instances", RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, to.String(), nil)
 	if err != nil {
@@ -248,6 +362,7 @@
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
+		c.began.Store(false) // and tells no news
 		return list{}, fmt.Errorf("answered %s", resp.Status)
 	}
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxListSize+1))
@@ -269,7 +384,10 @@
 
 // learn passes on what a watch brought. An empty delta is told only where the module awaits an answer.
 func (d *discovery) learn(l list, asked time.Time) {
-	d.revision, d.whole = l.Revision, false
+	if d.failed > 0 {
+		slog.Info("discovery: heard again", "after", time.Since(d.since), "failed", d.failed, "revision", l.Revision)
+	}
+	d.revision, d.whole, d.unsure, d.failed, d.due = l.Revision, false, false, 0, time.Time{}
 	n := news{kind: policy.ListUpdate, members: l.Members, revision: l.Revision, asked: asked, heard: time.Now()}
 	if l.Complete {
 		n.kind = policy.ListReplace
--- /dev/null
+++ b/internal/node/freshness_test.go
@@ -0,0 +1,457 @@
+package node
+
+import (
+	"bufio"
+	"context"
+	"errors"
+	"fmt"
+	"net"
+	"net/http"
+	"slices"
+	"strconv"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cobaltward/policy"
+)
+
+// registry is discovery on a test's clock. It handles calls in turn, turns away those that would wait for
+// too long, and can go wrong in the ways that the protocol tells of.
+type registry struct {
+	list  string        // the whole list, or what each watch is told of
+	each  time.Duration // that a call takes; one that goes on with a watch takes none
+	spoil func(n int) string
+	down  bool
+	gone  map[string]bool // addresses where nobody is
+
+	serving  sync.WaitGroup
+	mu       sync.Mutex
+	calls    []time.Time
+	queries  []string
+	revision int
+	changed  chan struct{}
+	hush     chan struct{}
+	free     time.Time
+	told     map[string]time.Time // by node: when news counts as told for its watch fell silent
+}
+
+const turnedAway = 2 * time.Second // calls that would wait for longer
+
+func newRegistry(t *testing.T) *registry {
+	r := &registry{revision: 7, changed: make(chan struct{}), hush: make(chan struct{}), told: map[string]time.Time{},
+		spoil: func(int) string { return "" }, list: entry("s0", "up") + "," + entry("s1", "up"), gone: map[string]bool{}}
+	t.Cleanup(r.serving.Wait)
+	return r
+}
+
+// change makes the list news to every watch.
+func (r *registry) change(list string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.list = list
+	r.revision++
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
+// silence makes all open watches fall silent for good; new calls are answered.
+func (r *registry) silence() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.hush)
+	r.hush = make(chan struct{})
+}
+
+func (r *registry) dial(node string) func(context.Context, string, string) (net.Conn, error) {
+	return func(_ context.Context, _, addr string) (net.Conn, error) {
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		if r.down || r.gone[addr] {
+			return nil, errors.New("connection refused")
+		}
+		client, server := net.Pipe()
+		r.serving.Go(func() { r.serve(node, server) })
+		return client, nil
+	}
+}
+
+func (r *registry) serve(node string, c net.Conn) {
+	defer c.Close()
+	in, last := bufio.NewReader(c), time.Time{}
+	for {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		if !r.call(node, c, in, req, time.Since(last) <= 200*time.Millisecond) {
+			return
+		}
+		last = time.Now()
+	}
+}
+
+// call answers one call, and reports false where the connection is of no more use.
+func (r *registry) call(node string, c net.Conn, in *bufio.Reader, req *http.Request, goesOn bool) bool {
+	q, asked := req.URL.Query(), time.Now()
+	index, _ := strconv.Atoi(q.Get("index"))
+	ms, _ := strconv.Atoi(q.Get("wait"))
+	wait := time.Duration(ms) * time.Millisecond
+	r.mu.Lock()
+	r.calls, r.queries = append(r.calls, asked), append(r.queries, req.URL.RawQuery)
+	n, turn, spoil := len(r.calls), asked, r.spoil
+	if !goesOn {
+		if turn = r.free; turn.Before(asked) {
+			turn = asked
+		}
+		if turn = turn.Add(r.each); turn.Sub(asked) > turnedAway {
+			r.mu.Unlock()
+			return r.write(c, 503, "")
+		}
+		r.free = turn
+	}
+	r.mu.Unlock()
+	time.Sleep(time.Until(turn))
+
+	silent := func(told time.Time) bool {
+		r.mu.Lock()
+		if r.told[node].IsZero() {
+			r.told[node] = told
+		}
+		r.mu.Unlock()
+		_, _ = in.ReadByte() // until the node hangs up
+		return false
+	}
+	fellSilent := func() bool {
+		told := time.Now().Add(6 * time.Second)
+		if late := asked.Add(wait + 2*time.Second); late.After(told) {
+			told = late
+		}
+		return silent(told)
+	}
+	how := spoil(n)
+	switch how {
+	case "silent":
+		return fellSilent()
+	case "silent in its head":
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nConte"))
+		return silent(time.Now())
+	case "silent in its body":
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{\"revision\":8,"))
+		return silent(time.Now())
+	case "trickling":
+		told := time.Now()
+		_, _ = c.Write([]byte("HTTP/1.1 200 OK\r\nContent-Length: 500\r\n\r\n{"))
+		for err := error(nil); err == nil; time.Sleep(100 * time.Millisecond) {
+			_, err = c.Write([]byte(" "))
+		}
+		return silent(told)
+	case "reset":
+		return false
+	case "no HTTP":
+		_, _ = c.Write([]byte("PTTH/7 quux\r\n\r\n"))
+		return silent(time.Now())
+	case "malformed":
+		r.noteTold(node)
+		return r.write(c, 200, `{"revision":8,"complete":false,"members":[{"id":`)
+	case "bad entry":
+		r.noteTold(node)
+		return r.write(c, 200, delta(8, entry("s0", "gone fishing")))
+	case "a part":
+		r.noteTold(node)
+		return r.write(c, 200, delta(8, entry("s0", "draining")))
+	case "503":
+		return r.write(c, 503, "")
+	}
+	end := time.NewTimer(time.Until(asked.Add(wait)))
+	defer end.Stop()
+	for over := !q.Has("index"); ; {
+		r.mu.Lock()
+		changed, hush, revision, list := r.changed, r.hush, r.revision, r.list
+		r.mu.Unlock()
+		switch {
+		case !q.Has("index"):
+			return r.write(c, 200, fmt.Sprintf(`{"revision":%d,"complete":true,"members":[%s]}`, revision, list))
+		case revision > index:
+			return r.write(c, 200, delta(revision, list))
+		case over:
+			return r.write(c, 200, delta(revision))
+		}
+		select {
+		case <-changed:
+		case <-hush:
+			return fellSilent()
+		case <-end.C:
+			over = true
+		}
+	}
+}
+
+func (r *registry) noteTold(node string) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	if r.told[node].IsZero() {
+		r.told[node] = time.Now()
+	}
+}
+
+func (r *registry) write(c net.Conn, status int, body string) bool {
+	_, err := fmt.Fprintf(c, "HTTP/1.1 %d X\r\nContent-Length: %d\r\n\r\n%s", status, len(body), body)
+	return err == nil
+}
+
+func (r *registry) toldAt(node string) time.Time {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return r.told[node]
+}
+
+func (r *registry) asked() int {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	return len(r.calls)
+}
+
+const drainGrace = time.Second // in these tests
+
+// follower runs a node's loop, module and discovery, and nothing else of it.
+func follower(t *testing.T, r *registry, n, nodes int, subscribe bool, seed uint64) *loop {
+	t.Helper()
+	c := testConfig(t, knownList("127.0.0.1:9", "127.0.0.1:10"))
+	c.Seed, c.Discovery = seed, "old:1"
+	set := &c.Settings
+	set.Node, set.Nodes, set.Subscribe = n, nodes, subscribe
+	set.Rules.DrainGrace, set.Rules.AskWithin = drainGrace, 10*time.Second
+	l, err := newLoop(c, clock{start: time.Now()}, newUpstream(c, 10))
+	if err != nil {
+		t.Fatal(err)
+	}
+	l.disc.client.Transport.(*http.Transport).DialContext = r.dial(fmt.Sprint(n))
+	ctx, cancel := context.WithCancel(context.Background())
+	var parts sync.WaitGroup
+	parts.Go(func() { l.run(ctx, c.Known) })
+	parts.Go(func() { l.disc.run(ctx) })
+	t.Cleanup(func() { cancel(); parts.Wait() })
+	return l
+}
+
+// drains tells whether the node knows that s0 is leaving.
+func drains(l *loop) bool {
+	for _, m := range l.legacy().Members {
+		if m.Server == "s0" {
+			return m.Availability != policy.Running
+		}
+	}
+	return true
+}
+
+func modes(t *testing.T, test func(t *testing.T, subscribe bool)) {
+	for name, subscribe := range map[string]bool{"asked": true, "pushed": false} {
+		t.Run(name, func(t *testing.T) {
+			synctest.Test(t, func(t *testing.T) {
+				time.Sleep(1) // the race detector ends the program where a bubble's first timer is due at once
+				test(t, subscribe)
+			})
+		})
+	}
+}
+
+// All open watches of a fleet fall silent together, right after a change has answered them together, and
+// servers drain. By the time that counts as told and the grace is over, each node has to have given its
+// watch up, been served by a discovery that handles calls in turn, and told its loop.
+func TestFleetHearsOfDrainsAfterSilentWatches(t *testing.T) {
+	for _, nodes := range []int{1, 2, 6, 40, largestFleet} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(nodes, " nodes ", seed), func(t *testing.T) {
+				modes(t, func(t *testing.T, subscribe bool) {
+					r := newRegistry(t)
+					r.each = min(355*time.Millisecond, 5*time.Second/time.Duration(nodes)) // as the operators' bench was seen to
+					var fleet []*loop
+					for n := range nodes {
+						fleet = append(fleet, follower(t, r, n, nodes, subscribe, seed))
+					}
+					time.Sleep(20 * time.Second)
+					r.change(entry("s1", "up"))
+					time.Sleep(50 * time.Millisecond)
+					r.silence()
+					before := r.asked()
+					time.Sleep(500 * time.Millisecond)
+					r.change(entry("s0", "draining"))
+					synctest.Wait()
+					late, due, order := 0, make([]time.Time, nodes), make([]int, nodes)
+					for n := range fleet {
+						told := r.toldAt(fmt.Sprint(n))
+						if told.IsZero() {
+							t.Fatalf("node %d had no watch", n)
+						}
+						due[n], order[n] = told.Add(drainGrace), n
+					}
+					slices.SortFunc(order, func(x, y int) int { return due[x].Compare(due[y]) })
+					for _, n := range order {
+						time.Sleep(time.Until(due[n]))
+						if !drains(fleet[n]) {
+							late++
+						}
+					}
+					if late > 0 {
+						t.Errorf("%d nodes hear too late that a server drains", late)
+					}
+					// Each gives one watch up, makes sure that it is heard, and watches again.
+					if calls := r.asked() - before; calls > 5*nodes {
+						t.Errorf("%d calls by %d nodes meanwhile", calls, nodes)
+					}
+				})
+			})
+		}
+	}
+}
+
+// Each way in which a call can go wrong, at the start and later, once and twice in a row: a drain that it
+// hides, wholly or in part, is known before the grace is over.
+func TestDrainsAreHeardPastBrokenCalls(t *testing.T) {
+	for _, how := range []string{"silent", "silent in its head", "silent in its body", "trickling", "reset", "no HTTP",
+		"malformed", "bad entry", "503"} {
+		for _, nodes := range []int{2, 350} {
+			for _, first := range []int{1, 4} {
+				for _, times := range []int{1, 2} {
+					t.Run(fmt.Sprintf("%s, call %d, %d times, %d nodes", how, first, times, nodes), func(t *testing.T) {
+						modes(t, func(t *testing.T, subscribe bool) {
+							for seed := range uint64(10) {
+								r, begun := newRegistry(t), make(chan struct{})
+								r.spoil = func(n int) string {
+									if n < first || n >= first+times {
+										return ""
+									}
+									if n == first {
+										r.change(entry("s0", "draining"))
+										close(begun)
+									}
+									return how
+								}
+								l := follower(t, r, 0, nodes, subscribe, seed)
+								<-begun
+								drained := time.Now()
+								synctest.Wait()
+								told := r.toldAt("0")
+								if strings.Contains(how, " in its ") || how == "trickling" && times > 1 {
+									told = drained.Add(6 * time.Second) // it was not written whole
+								}
+								if told.IsZero() { // the node has no watch, and no answer had begun
+									if told = drained; subscribe {
+										told = told.Add(10 * time.Second)
+									}
+								}
+								time.Sleep(time.Until(told.Add(drainGrace)))
+								if !drains(l) {
+									t.Errorf("seed %d: the drain is not known %v after it was told; calls at %v", seed, drainGrace, ago(r, drained))
+								}
+							}
+						})
+					})
+				}
+			}
+		}
+	}
+}
+
+// ago tells when the calls came.
+func ago(r *registry, from time.Time) string {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	var b strings.Builder
+	for i, at := range r.calls {
+		fmt.Fprintf(&b, "%v?%s ", at.Sub(from), r.queries[i])
+	}
+	return b.String()
+}
+
+// After SIGHUP news counts 4 s later, whatever the node was about: a silent watch, an old address that was
+// down and is left alone for a while, a first answer that goes wrong.
+func TestMovedNodesHearInTime(t *testing.T) {
+	for _, before := range []string{"", "silent", "down"} {
+		for _, answer := range []string{"", "silent", "malformed", "a part", "503", "reset", "trickling"} {
+			t.Run(fmt.Sprintf("%q then %q", before, answer), func(t *testing.T) {
+				modes(t, func(t *testing.T, subscribe bool) {
+					for seed := range uint64(10) {
+						r := newRegistry(t)
+						l := follower(t, r, 0, 350, subscribe, seed)
+						time.Sleep(15 * time.Second)
+						switch before {
+						case "silent":
+							r.silence()
+						case "down":
+							r.mu.Lock()
+							r.gone["old:1"] = true
+							r.mu.Unlock()
+							r.change(entry("s1", "up")) // answers the watch, and the next call fails
+							time.Sleep(20 * time.Second)
+						}
+						time.Sleep(time.Duration(seed) * 300 * time.Millisecond)
+						r.mu.Lock()
+						r.list = entry("s0", "draining") + "," + entry("s1", "up")
+						r.revision = 3 // of the new address
+						n := len(r.calls)
+						r.spoil = func(call int) string {
+							if call == n+1 {
+								return answer
+							}
+							return ""
+						}
+						r.mu.Unlock()
+						l.disc.move("new:1")
+						moved := time.Now()
+						time.Sleep(4*time.Second + drainGrace)
+						if !drains(l) {
+							t.Errorf("seed %d: the drain is not known; calls at %v", seed, ago(r, moved))
+						}
+					}
+				})
+			})
+		}
+	}
+}
+
+// Discovery is down for some seconds and back, and servers drain at its return. Pushed lists are heard at
+// once, and those that are asked for within the time that the settings give.
+func TestDrainsAreHeardAsDiscoveryComesBack(t *testing.T) {
+	modes(t, func(t *testing.T, subscribe bool) {
+		for seed := range uint64(10) {
+			r := newRegistry(t)
+			l := follower(t, r, 0, 350, subscribe, seed)
+			time.Sleep(15 * time.Second)
+			r.mu.Lock()
+			r.down = true
+			r.mu.Unlock()
+			r.change(entry("s1", "up")) // answers the watch
+			time.Sleep(8 * time.Second)
+			r.mu.Lock()
+			r.down = false
+			r.mu.Unlock()
+			r.change(entry("s0", "draining"))
+			grace := drainGrace
+			if subscribe {
+				grace += 40 * time.Second // a failed call counts for four times as long
+			}
+			time.Sleep(grace)
+			if !drains(l) {
+				t.Errorf("seed %d: the drain is not known", seed)
+			}
+		}
+	})
+}
+
+// A watch that nothing happens on costs one call in three to nine seconds, and few nodes' differ by less.
+func TestQuietWatchesCostFewCalls(t *testing.T) {
+	for nodes, want := range map[int][2]int{1: {270, 301}, 2: {255, 301}, 350: {140, 180}} {
+		modes(t, func(t *testing.T, subscribe bool) {
+			r := newRegistry(t)
+			follower(t, r, 0, nodes, subscribe, 1)
+			time.Sleep(15 * time.Minute)
+			if n := r.asked(); n < want[0] || n > want[1] {
+				t.Errorf("%d calls of one of %d nodes in a quarter of an hour, want %v", n, nodes, want)
+			}
+		})
+	}
+}
--- /dev/null
+++ b/internal/node/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package node
+
+const largestFleet = 350
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1030,6 +1030,11 @@
 	switch {
 	case e.Kind == ListUnavailable:
 		mean := min(askMost, askAgain<<min(b.unheard, 8))
+		if within := b.set.Rules.AskWithin; within > 0 && b.unheard == 0 {
+			mean = min(mean, within/4)
+		} else if within > 0 { // four times as long is allowed after a call that failed
+			mean = min(mean, within)
+		}
 		b.unheard++
 		b.askLater(mean/2, mean)
 		return
@@ -1037,7 +1042,11 @@
 		if b.set.Nodes <= manyNodes || b.succeeds { // one that takes over does so alone
 			b.askList()
 		} else {
-			b.askLater(0, min(askMost, time.Duration(b.set.Nodes)*askApart))
+			spread := min(askMost, time.Duration(b.set.Nodes)*askApart)
+			if within := b.set.Rules.AskWithin; within > 0 { // by then the first answer has come
+				spread = min(spread, within*4/5)
+			}
+			b.askLater(0, spread)
 		}
 	case e.Kind != ListRestored:
 		b.unheard = 0
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -843,6 +843,29 @@
 	}
 }
 
+// Where the settings want the list asked for more often than nodes call by themselves, they call within that.
+func TestListCallsComeWithinTheSettings(t *testing.T) {
+	const within = time.Second
+	for n := range 80 {
+		set := site(80)
+		set.Node, set.Subscribe, set.Rules.AskWithin = n, true, within
+		b, err := New(set, 0, 7)
+		if err != nil {
+			t.Fatal(err)
+		}
+		for i, most := range []time.Duration{within * 4 / 5, within / 2, 2 * within, 2 * within} {
+			kind := ListUnavailable
+			if i == 0 {
+				kind = ListRestored
+			}
+			timers := of(b.Handle(b.now, MemberList{Kind: kind}), SetTimer)
+			if len(timers) != 1 || timers[0].Wait > most {
+				t.Fatalf("call %d: %+v, want a wait of at most %v", i, timers, most)
+			}
+		}
+	}
+}
+
 // A hung server fills up: its full answers don't show that servers shed early.
 func TestFullAnswersOfSuspectsDontCount(t *testing.T) {
 	for score, want := range map[float64]bool{0: true, 0.4: false} {
