Send nothing to a server that begins to leave while an attempt is still dialling

The rule counts from a request's first byte, and what was heard late leaves little of the grace. upstream.go looked at the list before it dialled and not again (acquire); an attempt whose goroutine began after the news even opened a connection.

Each pool now has a context that ends when its server drains, is removed or starts anew. It calls off dials, and is looked at again before a connection is handed out. Such an attempt has sent nothing: it ends as could not connect, so that the module gives the request to another server. The module learns nothing from an attempt that could not connect to a server that is not in service any more; it used to move the part of bad answers, and so the bucket rates. What a server has got already goes on.

Also, the pool at an address is looked up and no longer searched for among all: a whole list of n new servers cost n times n.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -31,6 +31,7 @@
 
 var (
 	errUnknown   = errors.New("not in the list")
+	errLeaving   = errors.New("the server began to leave before anything was sent")
 	errNoSockets = errors.New("no descriptor is left for another connection")
 	errSpoilt    = errors.New("the answer can't be read")
 )
@@ -40,7 +41,7 @@
 // an attempt that the module never decided on, and which may read what was left behind one answer as
 // the next one's.
 type upstream struct {
-	dialer  net.Dialer
+	dial    func(ctx context.Context, network, addr string) (net.Conn, error)
 	idleFor time.Duration // an idle connection is dropped after this
 	report  []string      // names of the figures of a load report, in order
 	room    *room         // for bodies
@@ -53,9 +54,10 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
-	open  int          // connections, those being made among them
-	most  int          // that may be open: the rest of the descriptors is the clients'
-	free  atomic.Int64 // of them; read without the mutex
+	at    map[string]string // the pool's server at each address
+	open  int               // connections, those being made among them
+	most  int               // that may be open: the rest of the descriptors is the clients'
+	free  atomic.Int64      // of them; read without the mutex
 }
 
 // pool holds the idle connections to one process of one server, the last used at the end.
@@ -63,6 +65,14 @@
 	addr    string
 	upSince int64
 	idle    []*conn
+	leaving context.Context // ends when nothing new may go there any more
+	leave   context.CancelFunc
+}
+
+func newPool(m member) *pool {
+	p := &pool{addr: m.Addr, upSince: m.UpSince}
+	p.leaving, p.leave = context.WithCancel(context.Background())
+	return p
 }
 
 type conn struct {
@@ -78,9 +88,10 @@
 		idle = defaultConnIdle
 	}
 	u := &upstream{
-		dialer:  net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1},
+		dial:    (&net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1}).DialContext,
 		idleFor: idle / 2, // what is written just as the server closes would end as a reset
-		report:  c.Settings.Report, room: newRoom(c.MemoryMB, c.Cores), pools: make(map[string]*pool), most: most,
+		report:  c.Settings.Report, room: newRoom(c.MemoryMB, c.Cores), pools: make(map[string]*pool),
+		at: make(map[string]string), most: most,
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		writers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
 	}
@@ -104,6 +115,13 @@
 			u.forget(m.Server)
 			u.take(m)
 		}
+		switch p = u.pools[m.Server]; {
+		case p == nil:
+		case m.Availability == policy.Draining:
+			p.leave()
+		case p.leaving.Err() != nil: // it stays after all
+			p.leaving, p.leave = context.WithCancel(context.Background())
+		}
 	}
 	if n.kind == policy.ListUpdate {
 		return
@@ -118,21 +136,22 @@
 // take makes a pool for m, unless another server has its address by now: of two at one address the
 // one that started last is there, and what is meant for the other must not reach it.
 func (u *upstream) take(m member) {
-	for id, p := range u.pools {
-		if p.addr == m.Addr {
-			if p.upSince > m.UpSince {
-				return
-			}
-			u.forget(id)
+	if id, taken := u.at[m.Addr]; taken {
+		if u.pools[id].upSince > m.UpSince {
+			return
 		}
+		u.forget(id)
 	}
-	u.pools[m.Server] = &pool{addr: m.Addr, upSince: m.UpSince}
+	u.at[m.Addr] = m.Server
+	u.pools[m.Server] = newPool(m)
 }
 
 func (u *upstream) forget(id string) {
 	if p := u.pools[id]; p != nil {
+		p.leave()
 		u.trim(p, len(p.idle))
 		delete(u.pools, id)
+		delete(u.at, p.addr)
 	}
 }
 
@@ -203,16 +222,28 @@
 	return n, err
 }
 
-// acquire takes an idle connection to the server, or makes one.
+// acquire takes an idle connection to the server, or makes one. It gives up as soon as the server begins
+// to leave: the rule on drains counts from a request's first byte, and a connection may come up late.
 func (u *upstream) acquire(ctx context.Context, id string) (*conn, error) {
-	p, c, err := u.reserve(id)
+	p, c, leaving, err := u.reserve(id)
 	if c != nil || err != nil {
 		return c, err
 	}
-	tcp, err := u.dialer.DialContext(ctx, "tcp", p.addr)
+	ctx, cancel := context.WithCancelCause(ctx)
+	defer cancel(nil)
+	stop := context.AfterFunc(leaving, func() { cancel(errLeaving) })
+	defer stop()
+	tcp, err := u.dial(ctx, "tcp", p.addr)
+	if err == nil && leaving.Err() != nil {
+		tcp.Close()
+		err = errLeaving
+	}
 	if err != nil {
 		u.unreserve()
-		if errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL) {
+		switch {
+		case leaving.Err() != nil:
+			return nil, errLeaving
+		case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL):
 			return nil, errNoSockets
 		}
 		return nil, err
@@ -222,12 +253,14 @@
 
 // reserve returns the idle connection last used of those that have rested, or counts one that the
 // caller is to make.
-func (u *upstream) reserve(id string) (*pool, *conn, error) {
+func (u *upstream) reserve(id string) (p *pool, c *conn, leaving context.Context, err error) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	p := u.pools[id]
-	if p == nil {
-		return nil, nil, errUnknown
+	switch p = u.pools[id]; {
+	case p == nil:
+		return nil, nil, nil, errUnknown
+	case p.leaving.Err() != nil:
+		return nil, nil, nil, errLeaving
 	}
 	now := time.Now()
 	for i := len(p.idle) - 1; i >= 0; i-- {
@@ -240,16 +273,16 @@
 		copy(p.idle[i:], p.idle[i+1:])
 		p.idle[last], p.idle = nil, p.idle[:last]
 		if idle < u.idleFor && quiet(c.TCPConn) {
-			return p, c, nil
+			return p, c, p.leaving, nil
 		}
 		c.Close()
 		u.count(-1)
 	}
 	if !u.makeRoom() {
-		return nil, nil, errNoSockets
+		return nil, nil, nil, errNoSockets
 	}
 	u.count(1)
-	return p, nil, nil
+	return p, nil, p.leaving, nil
 }
 
 // makeRoom finds a descriptor for one more connection: a free one, one lent to clients, or an idle one's.
@@ -360,7 +393,7 @@
 		host.end(result{code: policy.Moot}) // nothing was sent, and the server is not to blame
 		return
 	case err != nil:
-		host.end(result{code: broken(ctx, err, false), opened: !errors.Is(err, errUnknown), err: err})
+		host.end(result{code: broken(ctx, err, false), opened: !errors.Is(err, errUnknown) && !errors.Is(err, errLeaving), err: err})
 		return
 	}
 	uses, idle := c.uses, time.Duration(0)
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -414,3 +414,74 @@
 		t.Errorf("to the new server: code %v", r.code)
 	}
 }
+
+// An attempt that was given its server before the server began to leave sends nothing there afterwards,
+// whether it has not begun, is still dialling, or its connection comes up at that moment. It can't have run,
+// so another server may have it.
+func TestNothingIsSentToAServerThatBeganToLeave(t *testing.T) {
+	heard := make(chan struct{}, 10)
+	addr := httpServer(t, func(w http.ResponseWriter, _ *http.Request) { heard <- struct{}{} })
+	for what, end := range map[string]news{
+		"drains":      {kind: policy.ListUpdate, members: []member{phased(t, addr, policy.Draining)}},
+		"is removed":  {kind: policy.ListUpdate, members: []member{phased(t, addr, policy.Removed)}},
+		"is missing":  {kind: policy.ListReplace},
+		"starts anew": {kind: policy.ListUpdate, members: []member{{Member: phased(t, addr, policy.Running).Member, Addr: addr, UpSince: 5}}},
+	} {
+		for _, heeds := range []bool{true, false} { // whether the dial ends when it is called off
+			u := testUpstream(t, addr)
+			dials := make(chan struct{})
+			u.dial = func(ctx context.Context, network, to string) (net.Conn, error) {
+				close(dials)
+				<-ctx.Done()
+				if heeds {
+					return nil, ctx.Err()
+				}
+				return net.Dial(network, to)
+			}
+			ends := make(chan result, 1)
+			go func() { ends <- ended(t, u, testExchange(http.MethodGet, "a", "")) }()
+			receive(t, "the dial", dials)
+			u.update(end)
+			if r := receive(t, "the attempt's end", ends); r.code != policy.ConnectFailed || r.err != errLeaving {
+				t.Errorf("%s while dialling: %v, %v", what, r.code, r.err)
+			}
+			if open, _ := u.counts("s0"); open != 0 {
+				t.Errorf("%s while dialling: %d connections are left", what, open)
+			}
+		}
+	}
+	u := testUpstream(t, addr)
+	u.update(news{kind: policy.ListUpdate, members: []member{phased(t, addr, policy.Draining)}})
+	if r := ended(t, u, testExchange(http.MethodGet, "b", "")); r.code != policy.ConnectFailed || r.err != errLeaving || r.opened {
+		t.Errorf("draining already: %v, %v, opened %v", r.code, r.err, r.opened)
+	}
+	if len(heard) > 0 {
+		t.Error("a request reached the server")
+	}
+	u.update(news{kind: policy.ListUpdate, members: []member{phased(t, addr, policy.Running)}})
+	if r := ended(t, u, testExchange(http.MethodGet, "c", "")); r.code != policy.OK {
+		t.Errorf("up again: %v, %v", r.code, r.err)
+	}
+}
+
+// What a server has got already it finishes, also after it began to leave.
+func TestLeavingServersFinishWhatTheyHave(t *testing.T) {
+	began, finish := make(chan struct{}, 1), make(chan struct{})
+	addr := httpServer(t, func(w http.ResponseWriter, _ *http.Request) { began <- struct{}{}; <-finish })
+	u := testUpstream(t, addr)
+	ends := make(chan result, 1)
+	go func() { ends <- ended(t, u, testExchange(http.MethodGet, "a", "")) }()
+	receive(t, "the request", began)
+	u.update(news{kind: policy.ListUpdate, members: []member{phased(t, addr, policy.Draining)}})
+	close(finish)
+	if r := receive(t, "the attempt's end", ends); r.code != policy.OK {
+		t.Errorf("%v, %v", r.code, r.err)
+	}
+}
+
+// phased is the first server of testUpstream in another phase.
+func phased(t *testing.T, addr string, phase policy.Availability) member {
+	m := members(t, addr)[0]
+	m.Availability = phase
+	return m
+}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -817,6 +817,10 @@
 	switch e.Code {
 	case Moot:
 		return
+	case ConnectFailed:
+		if s.Availability != Running { // the node called it off, or the process has ended
+			return
+		}
 	case Cancelled:
 		if !a.trial { // our own doing; but a trial that a second copy had to stand in for has failed
 			return
@@ -1059,6 +1063,11 @@
 				b.servers[m.Server] = s
 			}
 		}
+		for id, s := range old {
+			if b.servers[id] == nil {
+				s.Availability = Removed
+			}
+		}
 	}
 	for _, m := range e.Members {
 		b.listed(m)
@@ -1069,11 +1078,13 @@
 
 // listed takes over one entry of the list.
 func (b *Balancer) listed(m Member) {
+	s := b.servers[m.Server]
 	if m.Availability == Removed {
-		delete(b.servers, m.Server)
+		if delete(b.servers, m.Server); s != nil {
+			s.Availability = Removed
+		}
 		return
 	}
-	s := b.servers[m.Server]
 	if s == nil || s.OnlineSince != m.OnlineSince { // new, or a new process: forget the old one
 		s = &server{latency: b.set.Classes[0].Aim.Seconds() / 4, hash: hash(m.Server)}
 		// A random part of a token, so that nodes who hear of a cold server together don't all send.
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -866,6 +866,40 @@
 	}
 }
 
+// A request whose attempt was called off because its server began to leave goes to another that stays, and
+// nobody is blamed.
+func TestLeavingServersAreLeftOutOfRetriesAndBlame(t *testing.T) {
+	for _, kind := range []ListKind{ListUpdate, ListReplace} {
+		b := start(t, site(1), members(3))
+		at := map[string]string{}
+		for _, id := range []string{"a", "b", "c"} {
+			at[id] = sentTo(t, b.Handle(ms, ask(id, "read")))
+		}
+		if at["a"] != at["b"] || at["a"] != at["c"] {
+			t.Fatalf("sent to %v, want one server", at)
+		}
+		list := members(3)
+		for i := range list {
+			if list[i].Server == at["a"] {
+				list[i].Availability = Draining
+			}
+		}
+		if kind == ListReplace {
+			list = slices.DeleteFunc(list, func(m Member) bool { return m.Availability == Draining })
+		}
+		b.Handle(2*ms, MemberList{Kind: kind, Members: list})
+		bad, blame := b.bad, b.blame
+		for i, id := range []string{"a", "b", "c"} {
+			if to := sentTo(t, b.Handle(Time(3+i)*ms, outcome(id, 0, at[id], ConnectFailed, ms))); to == at["a"] {
+				t.Errorf("kind %v: %s goes to the leaving server again", kind, id)
+			}
+		}
+		if b.bad != bad || b.blame != blame {
+			t.Errorf("kind %v: bad answers %v, were %v; blame %v, was %v", kind, b.bad, bad, b.blame, blame)
+		}
+	}
+}
+
 // A hung server fills up: its full answers don't show that servers shed early.
 func TestFullAnswersOfSuspectsDontCount(t *testing.T) {
 	for score, want := range map[float64]bool{0: true, 0.4: false} {
