Let a new process hear of drains with the old one until discovery answers it

A new process starts with the list that the old one left up to 250 ms ago and asks discovery at once. Where that call is broken or waits its turn, it serves by that list for seconds, while the old process may hear of a drain: both are one node, so it counts as told to both, and the new one goes on sending (succeed in node.go read the old process's word once).

The new process reads the old one's word every 50 ms anyway, for the descriptors that it leaves. It now takes over the list in it whenever its revision changes, until discovery has answered the new process itself.

Not taken: not being ready before discovery answers, which would make an upgrade fail while discovery is down.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -211,6 +211,7 @@
 	ownSockets                   int // what each needs for itself
 
 	before int64 // the process that came before; 0 once it is gone
+	heard  int64 // the revision of its list that was last taken over
 	halved bool
 	wrote  time.Time
 }
@@ -240,6 +241,9 @@
 		old, err := s.read(s.before, now)
 		if err != nil { // its word counts once it has one
 			old.Clients, old.Servers = s.clientSockets/2, s.serverSockets/2
+		} else if old.Revision != s.heard { // what it was told, this node was told
+			s.heard = old.Revision
+			s.loop.send(bequeathed{list{Revision: old.Revision, Complete: true, Members: old.Members}})
 		}
 		s.clients.bound(max(leastOfEach, s.clientSockets-old.Clients-s.ownSockets/2))
 		s.up.bound(max(leastOfEach, s.serverSockets-old.Servers-s.ownSockets/2))
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -285,6 +285,59 @@
 	next.leave()
 }
 
+// Both processes are one node: a drain that the old one hears of counts as told to the new one too, whose own
+// first call may be broken or wait its turn. Once that is answered, the old one's word counts no more.
+func TestNewProcessHearsWithTheOldOne(t *testing.T) {
+	dir := t.TempDir()
+	first, err := join(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer first.leave()
+	second, err := join(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer second.leave()
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer ln.Close()
+	lists := 0
+	l, _ := startLoop(t, "127.0.0.1:9", func(_ policy.Time, ev policy.Event) []policy.Action {
+		if _, ok := ev.(policy.MemberList); ok {
+			lists++
+		}
+		return nil
+	})
+	next := &shared{handover: second, loop: l, life: new(lifecycle), clients: newClients(ln, 100), up: l.up,
+		clientSockets: 100, serverSockets: 150, ownSockets: 30, before: second.before}
+	now := time.Now()
+	hears := func(revision int64, phase policy.Availability) {
+		t.Helper()
+		left := legacy{Saved: now, Revision: revision, Members: []member{phased(t, "127.0.0.1:9", phase)}}
+		if err := first.write(left); err != nil {
+			t.Fatal(err)
+		}
+		next.step(now)
+		next.step(now)
+	}
+	phase := func() policy.Availability { return l.legacy().Members[0].Availability }
+	hears(8, policy.Draining)
+	if phase() != policy.Draining {
+		t.Error("the new process doesn't know of the drain that the old one heard of")
+	}
+	if lists != 2 { // the loop has answered since
+		t.Errorf("the module was given %d lists, want the one at the start and the change", lists)
+	}
+	l.send(news{kind: policy.ListUpdate, members: []member{phased(t, "127.0.0.1:9", policy.Running)}, revision: 9})
+	hears(10, policy.Draining)
+	if phase() != policy.Running {
+		t.Error("the old process's word goes before discovery's")
+	}
+}
+
 // A folder that can't be used costs the handover, not the start.
 func TestUnusableFolderIsAPlainStart(t *testing.T) {
 	addr := httpServer(t, func(http.ResponseWriter, *http.Request) {})
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -72,6 +72,7 @@
 	requests map[string]*request
 	members  map[string]member  // the list as it stands
 	listedAt int64              // its revision
+	heard    bool               // by discovery, since the start
 	lastSent map[string]sending // to each server listed; for the log
 	used     ids
 	owed     int // requests without their answer
@@ -128,6 +129,7 @@
 	bequest struct { // asks what a successor should know
 		reply chan legacy
 	}
+	bequeathed struct{ list } // as the process before has it by now
 )
 
 func newLoop(c Config, ck clock, up *upstream) (*loop, error) {
@@ -225,7 +227,12 @@
 	case ending:
 		l.end(ctx, e)
 	case news:
+		l.heard = l.heard || e.kind == policy.ListReplace || e.kind == policy.ListUpdate
 		l.listed(ctx, e)
+	case bequeathed: // until discovery is heard, which knows better
+		if !l.heard && e.Revision != l.listedAt && len(e.Members) > 0 {
+			l.listed(ctx, news{kind: policy.ListReplace, members: e.Members, revision: e.Revision})
+		}
 	case bequest:
 		left := legacy{Revision: l.listedAt, Members: slices.Collect(maps.Values(l.members))}
 		if m, ok := l.module.(*policy.Balancer); ok {
