--- /dev/null
+++ b/internal/node/scale_test.go
@@ -0,0 +1,137 @@
+package node
+
+import (
+	"fmt"
+	"maps"
+	"slices"
+	"testing"
+	"time"
+
+	"cobaltward/policy"
+)
+
+// many is how many servers, and how many nodes, the operators may have at least.
+const many = 1024
+
+func manyMembers(n int) []member {
+	all := make([]member, n)
+	for i := range all {
+		all[i] = member{Addr: fmt.Sprintf("127.1.%d.%d:9000", i/256, i%256), Member: policy.Member{
+			Server: fmt.Sprintf("s-%08x", i*2654435761%(1<<32)), Zone: string(rune('a' + i%3)), Kind: "k", Cell: int64(i / 8), Weight: 1}}
+	}
+	return all
+}
+
+// What many servers and tenants leave to a successor is written and read whole.
+func TestManyServersAreHandedOver(t *testing.T) {
+	l := manyLoop(t, many)
+	l.listed(t.Context(), news{kind: policy.ListReplace, members: manyMembers(many), revision: 5})
+	for i := range many {
+		l.module.Handle(l.clock.now(), policy.Request{ID: fmt.Sprint("r", i), Class: "read", Tenant: fmt.Sprint("tenant ", i), ExpiresIn: time.Second})
+	}
+	h, err := join(t.TempDir())
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.leave()
+	now := time.Now()
+	left := legacy{Saved: now, Revision: l.listedAt, Members: slices.Collect(maps.Values(l.members)),
+		Policy: l.module.(*policy.Balancer).Remember(l.clock.now())}
+	if err := h.write(left); err != nil {
+		t.Fatal(err)
+	}
+	got, err := h.read(h.id, now)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if len(got.Members) != many || len(got.Policy.Servers) != many || len(got.Policy.Buckets) < many {
+		t.Errorf("%d members, %d servers and %d buckets are handed over, want %d of each", len(got.Members),
+			len(got.Policy.Servers), len(got.Policy.Buckets), many)
+	}
+}
+
+// A server in the place of another, at its address, and all of them at once.
+func TestManyServersChangePlaces(t *testing.T) {
+	l := manyLoop(t, many)
+	old, next := manyMembers(many), manyMembers(2 * many)[many:]
+	for i := range next {
+		next[i].Addr, next[i].UpSince = old[many-1-i].Addr, 1
+	}
+	l.up.update(news{kind: policy.ListReplace, members: old})
+	l.up.update(news{kind: policy.ListUpdate, members: next})
+	for _, m := range old {
+		if l.up.pools[m.Server] != nil {
+			t.Fatalf("%s is still at an address that another has", m.Server)
+		}
+	}
+	for _, m := range next {
+		if p := l.up.pools[m.Server]; p == nil || p.addr != m.Addr {
+			t.Fatalf("%s is not at %s", m.Server, m.Addr)
+		}
+	}
+	l.up.update(news{kind: policy.ListUpdate, members: old}) // late, of those that started before
+	if len(l.up.pools) != many || len(l.up.at) != many {
+		t.Errorf("%d pools at %d addresses, want %d", len(l.up.pools), len(l.up.at), many)
+	}
+}
+
+func BenchmarkLists(b *testing.B) {
+	for _, n := range []int{many / 4, many} {
+		b.Run(fmt.Sprint("replace ", n), func(b *testing.B) {
+			l := manyLoop(b, n)
+			lists := [2]news{{kind: policy.ListReplace, members: manyMembers(n)}, {kind: policy.ListReplace, members: manyMembers(2 * n)[n:]}}
+			for i := 0; b.Loop(); i++ {
+				l.listed(b.Context(), lists[i%2])
+			}
+		})
+		b.Run(fmt.Sprint("one drains ", n), func(b *testing.B) {
+			l := manyLoop(b, n)
+			l.listed(b.Context(), news{kind: policy.ListReplace, members: manyMembers(n)})
+			for i := 0; b.Loop(); i++ {
+				m := manyMembers(1)
+				m[0].Availability = policy.Availability(i % 2)
+				l.listed(b.Context(), news{kind: policy.ListUpdate, members: m})
+			}
+		})
+		b.Run(fmt.Sprint("word to a successor ", n), func(b *testing.B) {
+			l := manyLoop(b, n)
+			l.listed(b.Context(), news{kind: policy.ListReplace, members: manyMembers(n)})
+			for b.Loop() {
+				left := legacy{Members: manyMembers(n), Policy: l.module.(*policy.Balancer).Remember(l.clock.now())}
+				raw, err := encodeLegacy(left)
+				if err != nil {
+					b.Fatal(err)
+				}
+				b.SetBytes(int64(len(raw)))
+			}
+		})
+		b.Run(fmt.Sprint("request ", n), func(b *testing.B) {
+			l := manyLoop(b, n)
+			l.listed(b.Context(), news{kind: policy.ListReplace, members: manyMembers(n)})
+			for i := 0; b.Loop(); i++ {
+				id := fmt.Sprint("r", i)
+				now := l.clock.now()
+				for _, a := range l.module.Handle(now, policy.Request{ID: id, Class: "read", Tenant: "t", ExpiresIn: time.Second}) {
+					if a.Kind == policy.Send {
+						l.module.Handle(now, policy.Outcome{ID: id, Server: a.Server, Code: policy.OK, Latency: time.Millisecond})
+					}
+				}
+			}
+		})
+	}
+}
+
+func manyLoop(tb testing.TB, nodes int) *loop {
+	tb.Helper()
+	c, err := parseConfig([]byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1f",
+		"limits":{"cores":1,"memory_mb":32,"sockets":256},"known":{"revision":1,"members":[]},"settings":%s}`, testSettings)))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	c.Settings.Node, c.Settings.Nodes = nodes-1, nodes
+	l, err := newLoop(c, clock{start: time.Now()}, newUpstream(c, 100))
+	if err != nil {
+		tb.Fatal(err)
+	}
+	return l
+}
