--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -233,7 +233,7 @@
 	d.miss(c, err)
 	if !d.subscribe { // the last list stays, and the module need not know
 		backoff = nextBackoff(backoff)
-		pause(ctx, backoff)
+		pause(ctx, backoff/2+time.Duration(d.rng.Float64()*float64(backoff/2))) // not in step with other nodes
 		return true, backoff
 	}
 	if time.Now().Before(d.due.Add(d.grace)) {
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -34,6 +34,7 @@
 	revision int
 	changed  chan struct{}
 	hush     chan struct{}
+	cut      chan struct{}
 	free     time.Time
 	told     map[string]time.Time // by node: when news counts as told for its watch fell silent
 }
@@ -41,7 +42,7 @@
 const turnedAway = 2 * time.Second // calls that would wait for longer
 
 func newRegistry(t *testing.T) *registry {
-	r := &registry{revision: 7, changed: make(chan struct{}), hush: make(chan struct{}), told: map[string]time.Time{},
+	r := &registry{revision: 7, changed: make(chan struct{}), hush: make(chan struct{}), cut: make(chan struct{}), told: map[string]time.Time{},
 		spoil: func(int) string { return "" }, list: entry("s0", "up") + "," + entry("s1", "up"), gone: map[string]bool{}}
 	t.Cleanup(r.serving.Wait)
 	return r
@@ -65,6 +66,14 @@
 	r.hush = make(chan struct{})
 }
 
+// reset breaks all open watches.
+func (r *registry) reset() {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	close(r.cut)
+	r.cut = make(chan struct{})
+}
+
 func (r *registry) dial(node string) func(context.Context, string, string) (net.Conn, error) {
 	return func(_ context.Context, _, addr string) (net.Conn, error) {
 		r.mu.Lock()
@@ -169,7 +178,7 @@
 	defer end.Stop()
 	for over := !q.Has("index"); ; {
 		r.mu.Lock()
-		changed, hush, revision, list := r.changed, r.hush, r.revision, r.list
+		changed, hush, cut, revision, list := r.changed, r.hush, r.cut, r.revision, r.list
 		r.mu.Unlock()
 		switch {
 		case !q.Has("index"):
@@ -183,6 +192,8 @@
 		case <-changed:
 		case <-hush:
 			return fellSilent()
+		case <-cut:
+			return false
 		case <-end.C:
 			over = true
 		}
@@ -308,6 +319,46 @@
 	}
 }
 
+// All open watches of a fleet are reset together, and servers drain right after. Nodes without a watch are held
+// to what they have for the time that the settings give for asking; discovery can't answer all at once.
+func TestFleetHearsOfDrainsAfterResetWatches(t *testing.T) {
+	for _, nodes := range []int{1, 2, 6, 40, largestFleet} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(nodes, " nodes ", seed), func(t *testing.T) {
+				synctest.Test(t, func(t *testing.T) {
+					time.Sleep(1)
+					r := newRegistry(t)
+					r.each = min(355*time.Millisecond, 5*time.Second/time.Duration(nodes))
+					var fleet []*loop
+					for n := range nodes {
+						fleet = append(fleet, follower(t, r, n, nodes, true, seed))
+					}
+					time.Sleep(20 * time.Second)
+					r.change(entry("s1", "up"))
+					time.Sleep(50 * time.Millisecond)
+					r.reset()
+					before := r.asked()
+					time.Sleep(500 * time.Millisecond)
+					r.change(entry("s0", "draining"))
+					time.Sleep(10*time.Second + drainGrace)
+					late := 0
+					for _, l := range fleet {
+						if !drains(l) {
+							late++
+						}
+					}
+					if late > 0 {
+						t.Errorf("%d nodes hear too late that a server drains", late)
+					}
+					if calls := r.asked() - before; calls > 7*nodes {
+						t.Errorf("%d calls by %d nodes meanwhile", calls, nodes)
+					}
+				})
+			})
+		}
+	}
+}
+
 // Each way in which a call can go wrong, at the start and later, once and twice in a row: a drain that it
 // hides, wholly or in part, is known before the grace is over.
 func TestDrainsAreHeardPastBrokenCalls(t *testing.T) {
