--- /dev/null
+++ b/cmd/wayhold/norace_test.go
@@ -0,0 +1,5 @@
+//go:build !race
+
+package main
+
+const raceDetector = false
--- /dev/null
+++ b/cmd/wayhold/race_test.go
@@ -0,0 +1,6 @@
+//go:build race
+
+package main
+
+// raceDetector multiplies what a process needs.
+const raceDetector = true
