Keep the spread after SIGHUP within what a silent watch leaves, and test the rest of the kin

A watch that a move ends may have fallen silent before: what it missed counts as told by its own clock, so the pause before the first call at the new address leaves a whole call's time before that and the grace are over.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -140,6 +140,7 @@
 	since    time.Time // the first of these
 	// due is when news that a broken call may have missed counts as told; zero where none is known to be.
 	due   time.Time
+	open  time.Time     // the same of the last call, were it silent
 	grace time.Duration // of the rule on drains, from then on
 	nodes int
 	rng   *rand.Rand
@@ -205,9 +206,14 @@
 		call, cancel, moved := d.settle(ctx)
 		if moved {
 			// At once, or nearly, even where the module waits to call the old address again.
-			watching, backoff, d.failed, d.due = true, 0, 0, time.Now().Add(movedSlack)
+			now := time.Now()
+			watching, backoff, d.failed, d.due = true, 0, 0, now.Add(movedSlack)
+			latest := d.due
+			if !d.open.IsZero() && d.open.Before(latest) { // what was left may have been silent
+				latest = d.open
+			}
 			spread := min(movedSpread, time.Duration(d.nodes)*movedApart)
-			pause(call, time.Duration(d.rng.Float64()*float64(spread)))
+			pause(call, min(time.Duration(d.rng.Float64()*float64(spread)), latest.Add(d.grace-callLimit).Sub(now)))
 		}
 		if d.subscribe {
 			watching = d.heed(call, watching)
@@ -222,6 +228,7 @@
 // turn makes one call, and pauses after one that failed.
 func (d *discovery) turn(ctx context.Context, backoff time.Duration) (bool, time.Duration) {
 	c := d.plan()
+	d.open = c.told()
 	l, err := d.watch(ctx, c)
 	switch {
 	case err == nil:
@@ -257,6 +264,9 @@
 	broke       bool          // it ended by itself
 }
 
+// told is the earliest moment from which what it misses counts as told if it is silent.
+func (c *listCall) told() time.Time { return c.asked.Add(max(silentLeast, c.wait+silentSlack)) }
+
 // plan says how long the next call may take. The waits of many nodes differ, since a change answers all
 // their watches together: those that fall silent then are not all given up, and called anew, together.
 func (d *discovery) plan() *listCall {
@@ -287,7 +297,7 @@
 	case c.began.Load(): // some of it was written, and what was counts
 		told = now
 	case c.silent:
-		told = c.asked.Add(max(silentLeast, c.wait+silentSlack)) // at the earliest
+		told = c.told()
 	}
 	if d.due.IsZero() {
 		d.due = told
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -173,6 +173,8 @@
 		return r.write(c, 200, delta(8, entry("s0", "draining")))
 	case "503":
 		return r.write(c, 503, "")
+	case "late":
+		time.Sleep(wait + 450*time.Millisecond)
 	}
 	end := time.NewTimer(time.Until(asked.Add(wait)))
 	defer end.Stop()
@@ -359,11 +361,50 @@
 	}
 }
 
+// All nodes of a fleet are moved to another address in the same moment, and servers have begun to drain there.
+func TestFleetHearsOfDrainsAfterAMove(t *testing.T) {
+	for _, nodes := range []int{1, 2, 6, 40, largestFleet} {
+		for seed := range uint64(3) {
+			t.Run(fmt.Sprint(nodes, " nodes ", seed), func(t *testing.T) {
+				modes(t, func(t *testing.T, subscribe bool) {
+					r := newRegistry(t)
+					r.each = min(355*time.Millisecond, 5*time.Second/time.Duration(nodes))
+					var fleet []*loop
+					for n := range nodes {
+						fleet = append(fleet, follower(t, r, n, nodes, subscribe, seed))
+					}
+					time.Sleep(20 * time.Second)
+					r.mu.Lock()
+					r.list, r.revision = entry("s0", "draining")+","+entry("s1", "up"), 3
+					r.mu.Unlock()
+					before := r.asked()
+					for _, l := range fleet {
+						l.disc.move("new:1")
+					}
+					time.Sleep(4*time.Second + drainGrace)
+					late := 0
+					for _, l := range fleet {
+						if !drains(l) {
+							late++
+						}
+					}
+					if late > 0 {
+						t.Errorf("%d nodes hear too late that a server drains", late)
+					}
+					if calls := r.asked() - before; calls > 4*nodes {
+						t.Errorf("%d calls by %d nodes meanwhile", calls, nodes)
+					}
+				})
+			})
+		}
+	}
+}
+
 // Each way in which a call can go wrong, at the start and later, once and twice in a row: a drain that it
 // hides, wholly or in part, is known before the grace is over.
 func TestDrainsAreHeardPastBrokenCalls(t *testing.T) {
 	for _, how := range []string{"silent", "silent in its head", "silent in its body", "trickling", "reset", "no HTTP",
-		"malformed", "bad entry", "503"} {
+		"malformed", "bad entry", "503", "late"} {
 		for _, nodes := range []int{2, 350} {
 			for _, first := range []int{1, 4} {
 				for _, times := range []int{1, 2} {
@@ -386,6 +427,9 @@
 								drained := time.Now()
 								synctest.Wait()
 								told := r.toldAt("0")
+								if how == "late" { // told as it is written
+									told = drained.Add(10 * time.Second)
+								}
 								if strings.Contains(how, " in its ") || how == "trickling" && times > 1 {
 									told = drained.Add(6 * time.Second) // it was not written whole
 								}
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -900,6 +900,42 @@
 	}
 }
 
+// A request that waits for room does not go to a server that begins to leave meanwhile, though that has room.
+func TestHeldRequestsPassLeavingServersOver(t *testing.T) {
+	b := start(t, site(1), members(2))
+	var at []string
+	held := ""
+	for i := 0; held == ""; i++ {
+		id := fmt.Sprint("r", i)
+		if sends := of(b.Handle(ms, ask(id, "read")), Send); len(sends) == 0 {
+			held = id
+		} else {
+			at = append(at, sends[0].Server)
+		}
+	}
+	list := members(2)
+	list[0].Availability = Draining
+	acts := slices.Clone(b.Handle(2*ms, MemberList{Kind: ListUpdate, Members: list}))
+	for i, server := range at { // the leaving one has room first
+		if server == list[0].Server {
+			acts = append(acts, b.Handle(3*ms, outcome(fmt.Sprint("r", i), 0, server, OK, ms))...)
+		}
+	}
+	acts = append(acts, b.Handle(3*ms+holdPoll, Timer{Token: holdToken})...)
+	for _, a := range of(acts, Send) {
+		t.Errorf("%s went to %s", a.ID, a.Server)
+	}
+	for i, server := range at {
+		if server == list[1].Server {
+			b.Handle(40*ms, outcome(fmt.Sprint("r", i), 0, server, OK, ms))
+			break
+		}
+	}
+	if to := sentTo(t, b.Handle(40*ms, Timer{Token: holdToken})); to != list[1].Server {
+		t.Errorf("the held request went to %s, want %s", to, list[1].Server)
+	}
+}
+
 // A hung server fills up: its full answers don't show that servers shed early.
 func TestFullAnswersOfSuspectsDontCount(t *testing.T) {
 	for score, want := range map[float64]bool{0: true, 0.4: false} {
