Hand the breakers of servers to a new process

On the open list since the upgrade was built, found by reading: thresholds, bucket levels and cold budgets went to the new process, breakers did not, so it sent to each server that the old one had taken out until it had failed again.

The word that a process leaves names, for each server, its score and, of one that is out, why, for how much longer and how often in a row. Its trials begin anew. What would take out more servers than a process does by itself is not believed.

Not taken: handing over running trials, whose outcomes the new process would never see.

--- a/policy/state.go
+++ b/policy/state.go
@@ -222,6 +222,11 @@
 	Felt             bool
 	Latency, Faults  float64
 	Takes, ColdLevel float64 // of a cold server, and its budget's level
+	// Of its breaker: the score, and of one that is out, why, for how much longer, and how often in a row.
+	Score     float64
+	Out, Hung bool
+	Rest      time.Duration
+	Times     int
 }
 
 // Remember is what a successor of this node should know.
@@ -233,7 +238,8 @@
 	}
 	for _, s := range b.order {
 		l := ServerMemory{Server: s.Server, Threshold: s.threshold, Felt: s.felt, Latency: s.latency,
-			Faults: s.faults, Takes: s.takes, ColdLevel: s.cold.tokens}
+			Faults: s.faults, Takes: s.takes, ColdLevel: s.cold.tokens, Score: s.health.score,
+			Out: s.health.out, Hung: s.health.hung, Rest: s.health.until - now, Times: s.health.times}
 		if s.OnlineSince > 0 {
 			l.Up = now - s.OnlineSince
 		}
@@ -262,7 +268,15 @@
 	}
 	b.succeeds = len(m.Servers) > 0
 	b.recalled = make(map[string]ServerMemory, len(m.Servers))
+	out := 0
 	for _, s := range m.Servers {
+		if s.Out {
+			out++
+		}
+	}
+	for _, s := range m.Servers {
+		s.Out = s.Out && float64(out) <= maxEjected*float64(len(m.Servers)) // no process takes more out itself
+		s.Rest -= max(0, ago)
 		if s.Up > 0 {
 			s.Up = now - s.Up - max(0, ago)
 		}
@@ -285,6 +299,11 @@
 		s.threshold, s.felt, s.latency = m.Threshold, m.Felt, m.Latency
 		s.faults = min(1, max(0, m.Faults))
 	}
+	s.health.score = min(1, max(0, m.Score))
+	if m.Out { // its trials begin anew
+		s.health = health{score: s.health.score, out: true, hung: m.Hung, times: max(0, m.Times),
+			until: b.now + min(ejectMost, max(0, m.Rest))}
+	}
 	s.takes = max(0, m.Takes)
 	s.cold.tokens = min(0, m.ColdLevel) // what the other may still send counts too
 }
--- a/policy/state_test.go
+++ b/policy/state_test.go
@@ -52,6 +52,41 @@
 	}
 }
 
+// A server that the old process had taken out of service stays out for the rest of that time, and is tried
+// before it is used; but not where more are out than any process takes out by itself.
+func TestSuccessorKeepsBreakers(t *testing.T) {
+	for out, want := range map[int]int{0: 0, 1: 1, 2: 2, 3: 0} {
+		old := start(t, site(2), members(5))
+		for i := range out {
+			s := old.order[i]
+			old.eject(s, i == 0)
+			old.eject(s, i == 0)
+			s.health.score = 0.6
+		}
+		m := old.Remember(old.now + 400*ms)
+		next, err := New(site(2), time.Hour, 1)
+		if err != nil {
+			t.Fatal(err)
+		}
+		next.Recall(time.Hour, m, 100*ms)
+		next.Handle(time.Hour, MemberList{Kind: ListRestored, Members: members(5)})
+		if next.ejected != want {
+			t.Errorf("%d were out: %d still are, want %d", out, next.ejected, want)
+			continue
+		}
+		for i := range want {
+			was, h := old.order[i].health, next.servers[old.order[i].Server].health
+			rest := was.until - old.now - 500*ms
+			if !h.out || h.hung != was.hung || h.times != was.times || h.until != time.Hour+rest || h.score != 0.6 {
+				t.Errorf("%d were out: the breaker is %+v, was %+v; want %v more", out, h, was, rest)
+			}
+			if to := sentTo(t, next.Handle(time.Hour+ms, ask(string(rune('a'+i)), "free"))); to == old.order[i].Server {
+				t.Errorf("%d were out: %s is used", out, to)
+			}
+		}
+	}
+}
+
 // Nothing remembered changes nothing, and what makes no sense does no harm.
 func TestRecallOfNothing(t *testing.T) {
 	for _, m := range []Memory{{}, {Pace: -1, Busy: 9, Rates: map[string]float64{"k0": -1},
