Don't give up calls in discovery's queue again and again

A discovery that is busy lets a call wait for as long or longer before it answers it or turns it away, and a call that is given up in its queue starts again at its end: a node that needs 2.9 s for an answer never got one (test, 2.9 and 5 s a call).

Only the first two calls after a silent watch are still given up so soon, while that can keep the rule. All others have 3 s, and a second more for each failure in a row, up to 6 s.

--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -31,10 +31,12 @@
 	silentLeast = 6 * time.Second
 	lateAnswer  = silentSlack / 4 // after its wait; answers were seen to come within 10 ms, on the busiest days as well
 	checkWait   = 300 * time.Millisecond
-	callLimit   = 2 * time.Second        // for an answer that has nothing to wait for
-	bodyLimit   = 500 * time.Millisecond // from an answer's first byte to its last: what it tells may count from the first
-	bodyMost    = 4 * time.Second        // the same, after such failures in a row
-	backoffMin  = 25 * time.Millisecond
+	callLimit   = 2 * time.Second // for an answer that has nothing to wait for, while news counts as told soon
+	// Else discovery may take its time: a call that is given up in its queue has to wait from the end again.
+	queueLimit, queueMore, queueMost = 3 * time.Second, time.Second, 6 * time.Second // at first, for each failure, at most
+	bodyLimit                        = 500 * time.Millisecond                        // from an answer's first byte to its last: what it tells may count from the first
+	bodyMost                         = 4 * time.Second                               // the same, after such failures in a row
+	backoffMin                       = 25 * time.Millisecond
 	// backoffMax guards the rule on drains: what a pushed list's agent has counts as told, also while
 	// the node pauses after a failed call.
 	backoffMax = 200 * time.Millisecond
@@ -243,9 +245,9 @@
 		pause(ctx, backoff/2+time.Duration(d.rng.Float64()*float64(backoff/2))) // not in step with other nodes
 		return true, backoff
 	}
-	if time.Now().Before(d.due.Add(d.grace)) {
+	if d.urgent() {
 		if c.broke { // one that fell silent has waited for long enough
-			pause(ctx, d.urgent())
+			pause(ctx, d.breath())
 		}
 		return true, 0
 	}
@@ -271,12 +273,15 @@
 // their watches together: those that fall silent then are not all given up, and called anew, together.
 func (d *discovery) plan() *listCall {
 	c := &listCall{asked: time.Now(), body: min(bodyMost, bodyLimit<<min(d.failed, 10))}
+	c.limit = min(queueMost, queueLimit+time.Duration(d.failed)*queueMore)
+	if (d.failed == 1 || d.failed == 2) && d.urgent() {
+		c.limit = callLimit
+	}
 	switch {
 	case d.whole:
-		c.limit = callLimit
 	case d.unsure:
 		c.wait = checkWait
-		c.limit = c.wait + callLimit
+		c.limit += c.wait
 	default:
 		spread := min(watchSpread, time.Duration(d.nodes)*callsApart)
 		c.wait = (watchLeast + time.Duration(d.rng.Float64()*float64(spread))).Truncate(time.Millisecond)
@@ -312,9 +317,11 @@
 	slog.Warn(what, "after", now.Sub(c.asked), "wait", c.wait, "revision", d.revision, "in_a_row", d.failed, "err", err)
 }
 
-// urgent is a pause between two calls for news that counts as told: longer each time, and never in step
-// with other nodes.
-func (d *discovery) urgent() time.Duration {
+// urgent tells whether news that counts as told, or soon does, can still be heard in time.
+func (d *discovery) urgent() bool { return time.Now().Before(d.due.Add(d.grace)) }
+
+// breath is a pause between two urgent calls: longer each time, and never in step with other nodes.
+func (d *discovery) breath() time.Duration {
 	mean := min(urgentMax, max(backoffMin, d.grace/urgentPart)<<min(d.failed-1, 10))
 	return mean/2 + time.Duration(d.rng.Float64()*float64(mean))
 }
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -21,11 +21,13 @@
 // registry is discovery on a test's clock. It handles calls in turn, turns away those that would wait for
 // too long, and can go wrong in the ways that the protocol tells of.
 type registry struct {
-	list  string        // the whole list, or what each watch is told of
-	each  time.Duration // that a call takes; one that goes on with a watch takes none
-	spoil func(n int) string
-	down  bool
-	gone  map[string]bool // addresses where nobody is
+	list string        // the whole list, or what each watch is told of
+	each time.Duration // that a call takes; one that goes on with a watch takes none
+	// patience is how long a call waits at most; those that would wait for longer are turned away.
+	patience time.Duration
+	spoil    func(n int) string
+	down     bool
+	gone     map[string]bool // addresses where nobody is
 
 	serving  sync.WaitGroup
 	mu       sync.Mutex
@@ -39,10 +41,8 @@
 	told     map[string]time.Time // by node: when news counts as told for its watch fell silent
 }
 
-const turnedAway = 2 * time.Second // calls that would wait for longer
-
 func newRegistry(t *testing.T) *registry {
-	r := &registry{revision: 7, changed: make(chan struct{}), hush: make(chan struct{}), cut: make(chan struct{}), told: map[string]time.Time{},
+	r := &registry{revision: 7, patience: 2 * time.Second, changed: make(chan struct{}), hush: make(chan struct{}), cut: make(chan struct{}), told: map[string]time.Time{},
 		spoil: func(int) string { return "" }, list: entry("s0", "up") + "," + entry("s1", "up"), gone: map[string]bool{}}
 	t.Cleanup(r.serving.Wait)
 	return r
@@ -115,7 +115,7 @@
 		if turn = r.free; turn.Before(asked) {
 			turn = asked
 		}
-		if turn = turn.Add(r.each); turn.Sub(asked) > turnedAway {
+		if turn = turn.Add(r.each); turn.Sub(asked) > r.patience {
 			r.mu.Unlock()
 			return r.write(c, 503, "")
 		}
@@ -537,6 +537,25 @@
 	})
 }
 
+// A discovery that takes long for each call is heard all the same, for calls are not given up in its queue
+// time and again.
+func TestSlowDiscoveryIsHeard(t *testing.T) {
+	modes(t, func(t *testing.T, subscribe bool) {
+		for _, each := range []time.Duration{1900 * time.Millisecond, 2900 * time.Millisecond, 5 * time.Second} {
+			r := newRegistry(t)
+			r.each, r.patience = each, 10*time.Second
+			l := follower(t, r, 0, 350, subscribe, 1)
+			time.Sleep(15 * time.Second)
+			r.silence()
+			r.change(entry("s0", "draining"))
+			time.Sleep(40 * time.Second)
+			if !drains(l) {
+				t.Errorf("%v a call: the drain is not known 40 s later; calls at %s", each, ago(r, time.Now()))
+			}
+		}
+	})
+}
+
 // A watch that nothing happens on costs one call in three to nine seconds, and few nodes' differ by less.
 func TestQuietWatchesCostFewCalls(t *testing.T) {
 	for nodes, want := range map[int][2]int{1: {270, 301}, 2: {255, 301}, 350: {140, 180}} {
