Let bucket rates fall back for late answers only, not for slow ones in time

A node there gets up to several times the mean traffic, and a pace above 1.5 needs fewer than 6 % bad answers (follow). Bad were all answers over 0.4 of their aim (learn), which guards thresholds early; where the mean work is 32 to 58 ms on one core of half speed and the aim 300 ms, many are that slow at an idle server.

An answer within its aim lowers its server's threshold as before, and no longer counts against the rates.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -213,7 +213,7 @@
 	paceGrow, paceCut = 0.02, 0.02 // steps of the bucket rates at each choice: half may find no room
 	paceLeast         = 0.3        // below, in-share traffic starves by faults that shedding can't mend
 	paceShare         = 1.5        // above, only while few answers are bad
-	paceBad           = 0.06       // of the answers
+	paceBad           = 0.06       // of the answers; one within its aim isn't, however slow
 	paceMost          = 3.0        // above, there is little worth left to win
 )
 
@@ -461,7 +461,7 @@
 	if bad && (code != Full || s.health.score < silenceWeight) { // a hung server fills up too
 		track(&b.fullPart, fullGain, code == Full)
 	}
-	track(&b.bad, badGain, bad)
+	track(&b.bad, badGain, bad && (code != OK || latency > c.Aim))
 	if code != Full {
 		track(&b.lost, badGain, code == TimedOut)
 	}
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -673,6 +673,32 @@
 	}
 }
 
+// Answers that are slow but within their aim lower a threshold and say nothing of the rates: where work takes a good
+// part of its aim even on an idle server, rates would stand still below what uneven traffic within a share needs.
+func TestRatesFarOverTheSharesBearSlowAnswersInTime(t *testing.T) {
+	for _, late := range []bool{false, true} {
+		b := start(t, site(1), members(2))
+		took := b.ranked[0].Aim - ms
+		if late {
+			took = b.ranked[0].Aim + ms
+		}
+		before := b.order[0].threshold
+		for range 20 {
+			b.learn(b.order[0], b.ranked[0], OK, took)
+		}
+		if b.order[0].threshold >= before {
+			t.Errorf("late %v: the threshold is %v, was %v", late, b.order[0].threshold, before)
+		}
+		for range 200 {
+			b.refused = true
+			b.follow(true)
+		}
+		if grown := b.pace > paceShare*(1+paceGrow); grown == late {
+			t.Errorf("late %v: the scale is %v", late, b.pace)
+		}
+	}
+}
+
 // Connections idle for as long as those that went unanswered are closed before a send; a server is not
 // blamed for what was lost on them. Short gaps, and a site whose sends all fail alike, change nothing.
 func TestConnectionsDroppedUnseenAreOpenedAnew(t *testing.T) {
