--- a/cmd/wayhold/inherit_test.go
+++ b/cmd/wayhold/inherit_test.go
@@ -5,6 +5,7 @@
 	"io"
 	"net"
 	"os"
+	"path/filepath"
 	"strings"
 	"syscall"
 	"testing"
@@ -77,7 +78,7 @@
 		t.Fatal(err)
 	}
 	defer conn.Close()
-	unix, err := net.Listen("unix", "@")
+	unix, err := net.Listen("unix", filepath.Join(t.TempDir(), "s"))
 	if err != nil {
 		t.Fatal(err)
 	}
