Order closes, their readers and the end of the node, wherever the two could cross

Each crossing, the line where it is decided now, and its test, which fails without that line:

- A resting connection is closed as its reader looks for what has come: hangUp called Close under the mutex of all connections; Close waits for the reader, and the reader for the mutex, so that the node took in nobody any more.
It needs bytes or a first read in that moment.
Now closeAll lets the mutex go.
TestCloseMeetsTheReader.
- A request arrives between the choice to close and the close: nothing is read once a connection is given up (Read, case c.gone).
TestNothingIsReadOnceGivenUp.
- Bytes arrive as a connection ends with its answer: Close lingered only over bytes that had come already, and a later one reset the answer.
TestAnswerOutlivesWhatArrivesAtTheClose.
- A request comes whole just after the node has failed what was open at its end: it was sent on, and lost as the process ended.
Now it is refused (loop.arrive, stopping).
TestNothingBeginsAfterTheFinish.
- A connection is accepted as the listener closes, and not counted yet when the node looks whether any is left: drain now waits for Serve's word first.
TestEndWaitsForTheLastToBeAccepted.
- With short deadlines the listener closed after 0.6 of them, though clients come for up to 0.4 s after SIGTERM, and what was open was failed 0.7 s before SIGKILL could come.
Now it is open for 0.45 s, and 0.4 s are left at the end (drain).
TestShortDeadlinesLeaveTimeToLeave.

Ruled out: that Close may return before the descriptor is closed, which would overrun the limit (it waits for that, which is the deadlock's other half).

--- /dev/null
+++ b/internal/node/crossings_test.go
@@ -0,0 +1,209 @@
+package node
+
+import (
+	"context"
+	"io"
+	"net"
+	"net/http"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cobaltward/policy"
+)
+
+// gatedRaw holds up a reader that is about to look for what has come.
+type gatedRaw struct {
+	syscall.RawConn
+	entered, proceed chan struct{}
+	once             sync.Once
+}
+
+func (g *gatedRaw) Read(f func(uintptr) bool) error {
+	return g.RawConn.Read(func(fd uintptr) bool {
+		g.once.Do(func() { close(g.entered) })
+		<-g.proceed
+		return f(fd)
+	})
+}
+
+// A resting connection is closed in the very moment in which its reader looks for what has come. The reader waits
+// for the mutex of all connections, and the close for the reader; neither may wait for ever, and what comes then
+// is not read.
+func TestCloseMeetsTheReader(t *testing.T) {
+	for name, closes := range map[string]func(*clients){
+		"for room":           func(l *clients) { l.evict() },
+		"as it is sent away": func(l *clients) { l.mu.Unlock(); l.closeQuiet(time.Now().Add(time.Hour)); l.mu.Lock() },
+		"for a server":       func(l *clients) { l.most = 0; l.mu.Unlock(); l.yield(); l.mu.Lock() },
+		"as two share":       func(l *clients) { l.mu.Unlock(); l.bound(0); l.mu.Lock() },
+	} {
+		t.Run(name, func(t *testing.T) {
+			l, dial := testClients(t, 10)
+			theirs, ours := dial()
+			raw := &gatedRaw{RawConn: ours.raw, entered: make(chan struct{}), proceed: make(chan struct{})}
+			ours.raw = raw
+			type outcome struct {
+				n   int
+				err error
+			}
+			read, closed := make(chan outcome, 1), make(chan struct{})
+			go func() {
+				n, err := ours.Read(make([]byte, 100))
+				read <- outcome{n, err}
+			}()
+			<-raw.entered
+			l.mu.Lock()
+			close(raw.proceed)
+			go func() {
+				closes(l)
+				l.mu.Unlock()
+				close(closed)
+			}()
+			receive(t, "the close", closed)
+			if o := receive(t, "the reader", read); o.n != 0 || o.err == nil {
+				t.Errorf("the reader got %d bytes, %v", o.n, o.err)
+			}
+			if n, err := theirs.Read(make([]byte, 1)); n != 0 || err != io.EOF {
+				t.Errorf("the client got %d bytes, %v; want the end", n, err)
+			}
+			if l.left() != 0 {
+				t.Errorf("%d connections are left", l.left())
+			}
+		})
+	}
+}
+
+// What comes once the node has made up its mind to close a connection is not read, though the close takes a while.
+func TestNothingIsReadOnceGivenUp(t *testing.T) {
+	l, dial := testClients(t, 10)
+	theirs, ours := dial()
+	l.mu.Lock()
+	if !ours.giveUp() {
+		t.Fatal("a resting connection is not given up")
+	}
+	l.mu.Unlock()
+	if _, err := io.WriteString(theirs, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the request", func() bool { return unread(ours.TCPConn) })
+	if n, err := ours.Read(make([]byte, 100)); n != 0 || err == nil {
+		t.Errorf("%d bytes, %v", n, err)
+	}
+}
+
+// Bytes that arrive right after an answer that ends its connection don't reset it: the client reads the answer
+// and the end, and may go on sending until it has seen that.
+func TestAnswerOutlivesWhatArrivesAtTheClose(t *testing.T) {
+	l, dial := testClients(t, 10)
+	l.linger = long
+	theirs, ours := dial()
+	says(t, theirs, ours, "GET / HTTP/1.1\r\nHost: a\r\n\r\n")
+	if _, err := io.WriteString(ours, "answer"); err != nil {
+		t.Fatal(err)
+	}
+	ours.answered()
+	closed := make(chan error, 1)
+	go func() { closed <- ours.Close() }()
+	if got, err := io.ReadAll(theirs); string(got) != "answer" || err != nil {
+		t.Fatalf("the client got %q, %v", got, err)
+	}
+	for range 2 { // the first would call forth a reset, which the second would meet
+		if _, err := io.WriteString(theirs, "GET / HTTP/1.1\r\nHost: a\r\n\r\n"); err != nil {
+			t.Fatalf("the connection was reset: %v", err)
+		}
+	}
+	theirs.Close()
+	receive(t, "the close", closed)
+}
+
+// What arrives once the node has failed what was open, just before its end, is refused and not sent on.
+func TestNothingBeginsAfterTheFinish(t *testing.T) {
+	got := make(chan string, 10)
+	addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) { got <- r.Header.Get("X-Request-Id") })
+	l, module := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
+		if e, ok := ev.(policy.Request); ok {
+			return sends(e.ID, 1)
+		}
+		return nil
+	})
+	l.send(finish{})
+	if a := receive(t, "an answer", l.arriveNow("r1", long).reply); a.status != http.StatusServiceUnavailable {
+		t.Errorf("%+v, want a refusal", a)
+	}
+	if module.has(t, "list 2"); len(got) > 0 {
+		t.Error("it was sent on")
+	}
+}
+
+// silentListener has nobody to accept.
+type silentListener struct{ closed chan struct{} }
+
+func (l silentListener) Accept() (net.Conn, error) { <-l.closed; return nil, net.ErrClosed }
+func (l silentListener) Close() error              { close(l.closed); return nil }
+func (l silentListener) Addr() net.Addr            { return &net.TCPAddr{} }
+
+// The last connection may have been accepted as the listener closes, and not be counted yet. The node doesn't end
+// before whoever accepts has said that there are no more.
+func TestEndWaitsForTheLastToBeAccepted(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		c := testConfig(t, knownList())
+		l, err := newLoop(c, clock{start: time.Now()}, newUpstream(c, 10))
+		if err != nil {
+			t.Fatal(err)
+		}
+		s := newServer(c, l)
+		defer s.life.end()
+		accepts, ended := make(chan error), make(chan struct{})
+		go func() {
+			s.drain(c, newClients(silentListener{make(chan struct{})}, 10), accepts, false)
+			close(ended)
+		}()
+		time.Sleep(time.Hour)
+		select {
+		case <-ended:
+			t.Fatal("the node ended while a connection might still have been accepted")
+		default:
+		}
+		accepts <- http.ErrServerClosed
+		<-ended
+	})
+}
+
+// A node with short deadlines still takes in who comes for as long as the front may send clients, and has time
+// to answer them before it may be killed.
+func TestShortDeadlinesLeaveTimeToLeave(t *testing.T) {
+	for _, deadline := range []time.Duration{100 * time.Millisecond, 600 * time.Millisecond, 3 * time.Second, 6 * time.Second} {
+		synctest.Test(t, func(t *testing.T) {
+			c := testConfig(t, knownList())
+			for i := range c.Settings.Classes {
+				c.Settings.Classes[i].Deadline = deadline
+			}
+			l, err := newLoop(c, clock{start: time.Now()}, newUpstream(c, 10))
+			if err != nil {
+				t.Fatal(err)
+			}
+			ctx, cancel := context.WithCancel(context.Background())
+			loopEnd := make(chan struct{})
+			go func() { l.run(ctx, c.Known); close(loopEnd) }()
+			defer func() { cancel(); <-loopEnd }()
+			s := newServer(c, l)
+			defer s.life.end()
+			silent := silentListener{make(chan struct{})}
+			clients := newClients(silent, 10)
+			clients.open = 1 // one that never ends
+			accepts, began, ended := make(chan error, 1), time.Now(), make(chan struct{})
+			accepts <- http.ErrServerClosed
+			go func() { s.drain(c, clients, accepts, false); close(ended) }()
+			<-silent.closed
+			if d := time.Since(began); d < 400*time.Millisecond {
+				t.Errorf("deadlines of %v: nobody is taken in after %v", deadline, d)
+			}
+			<-ended
+			if d, killed := time.Since(began), min(deadline, 3*time.Second)+700*time.Millisecond; d > killed-200*time.Millisecond {
+				t.Errorf("deadlines of %v: it ends after %v, and may be killed at %v", deadline, d, killed)
+			}
+		})
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -76,6 +76,7 @@
 	lastSent map[string]sending // to each server listed; for the log
 	used     ids
 	owed     int // requests without their answer
+	stopping bool
 	timers   timers
 	trace    trace
 	skipped  []policy.Outcome // of attempts that were not made; told once all actions are done
@@ -240,6 +241,7 @@
 		}
 		e.reply <- left
 	case finish:
+		l.stopping = true
 		for _, r := range l.requests {
 			if !r.ended {
 				l.fail(ctx, r, http.StatusBadGateway, "stopping")
@@ -255,7 +257,7 @@
 		x.reply <- answer{status: http.StatusConflict}
 		return
 	}
-	if l.maxOpen > 0 && l.owed >= l.maxOpen {
+	if l.stopping || l.maxOpen > 0 && l.owed >= l.maxOpen {
 		x.reply <- answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter}
 		return
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -16,6 +16,8 @@
 	clientsPart  = 0.4                    // of the others for clients: the third that their requests take, and some room
 	longestDrain = 3 * time.Second        // no client waits longer once a node is told to stop
 	leavingPart  = 0.6                    // of that, in which the node still takes in what comes
+	leavingLeast = 450 * time.Millisecond // new connections come for up to 0.4 s after SIGTERM
+	killSlack    = 300 * time.Millisecond // of the 0.7 s that SIGKILL comes after the longest deadline
 	lookEvery    = 10 * time.Millisecond  // for whether clients are left
 	lastAnswers  = 100 * time.Millisecond // for what is failed then to reach its clients
 )
@@ -104,7 +106,7 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
-	s.drain(c, clients, h != nil && h.succeeded())
+	s.drain(c, clients, failed, h != nil && h.succeeded())
 	return nil
 }
 
@@ -138,13 +140,14 @@
 // have: there may be no other node for them yet. So the node serves as before at first, and says only
 // that it isn't ready; then it ends each connection with its answer, early enough for what it took last.
 // Where a successor takes the clients, it begins with that.
-func (s *server) drain(c Config, clients *clients, succeeded bool) {
+func (s *server) drain(c Config, clients *clients, served <-chan error, succeeded bool) {
 	var longest time.Duration
 	for _, class := range c.Settings.Classes {
 		longest = max(longest, class.Deadline)
 	}
 	longest = min(longest, longestDrain)
-	leave := time.Duration(leavingPart * float64(longest))
+	leave := max(leavingLeast, time.Duration(leavingPart*float64(longest)))
+	longest += killSlack
 	if succeeded {
 		leave = 0
 	}
@@ -157,13 +160,15 @@
 	}
 	s.life.close()
 	clients.Close()
+	<-served // the last connection that was accepted is among those that are waited for
 	if s.emptied(clients, late.C) {
 		return
 	}
-	s.loop.send(finish{}) // fails what is still open
+	s.loop.send(finish{}) // fails what is still open, and refuses what comes yet
 	late.Reset(lastAnswers)
 	if !s.emptied(clients, late.C) {
 		slog.Warn("stopped with clients left", "connections", clients.left())
+		clients.cutOff()
 		s.http.Close()
 	}
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -438,7 +438,8 @@
 // makes room by closing one of those that the node waits for: clients who connect and say nothing, stop half-way, or keep what they don't use, must not keep others out.
 type clients struct {
 	net.Listener
-	spare func() int // descriptors that servers leave for clients, beyond most; nil: none
+	spare  func() int    // descriptors that servers leave for clients, beyond most; nil: none
+	linger time.Duration // that a connection which ends waits for its client's end
 
 	mu      sync.Mutex
 	room    sync.Cond
@@ -447,6 +448,7 @@
 	waiting linked.List // of the *clientConn that owe the node a request or its rest, the longest silent in front
 	evicted int         // closed to make room, since the last summary
 	closed  bool
+	cut     bool // what is left is closed at once
 }
 
 // clientConn is one connection of a client.
@@ -468,7 +470,7 @@
 }
 
 func newClients(l net.Listener, most int) *clients {
-	c := &clients{Listener: l, most: most}
+	c := &clients{Listener: l, most: most, linger: lingerFor}
 	c.room.L = &c.mu
 	return c
 }
@@ -522,6 +524,13 @@
 	return l.Listener.Close()
 }
 
+// cutOff makes connections that close end at once, though their clients may not have read their answers.
+func (l *clients) cutOff() {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.cut = true
+}
+
 // evict closes the connection that costs its client least, if there is one that the node waits for. One
 // without a request is opened anew; half a request is lost, but one that ceased where it began most likely
 // never comes, whereas one that goes on coming does; and who has only just come or spoken is not judged yet.
@@ -531,8 +540,9 @@
 	fresh := time.Now().Add(-freshFor)
 	for kind := range kinds {
 		for e := l.waiting.Front(); e != nil; e = e.Next() {
-			if c := e.Value.(*clientConn); c.kind(fresh) == kind && c.hangUp() {
+			if c := e.Value.(*clientConn); c.kind(fresh) == kind && c.giveUp() {
 				l.evicted++
+				l.closeAll(c)
 				return true
 			}
 		}
@@ -540,6 +550,16 @@
 	return false
 }
 
+// closeAll closes connections that were given up. Whoever reads one of them may wait for the mutex, and Close for
+// the reader, so it is let go meanwhile.
+func (l *clients) closeAll(given ...*clientConn) {
+	l.mu.Unlock()
+	defer l.mu.Lock()
+	for _, c := range given {
+		c.TCPConn.Close()
+	}
+}
+
 // kind tells in which order connections are closed to make room.
 func (c *clientConn) kind(fresh time.Time) int {
 	old := c.since.Before(fresh)
@@ -559,15 +579,17 @@
 func (l *clients) closeQuiet(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
+	var given []*clientConn
 	for e := l.waiting.Front(); e != nil; {
 		c := e.Value.(*clientConn)
 		if now.Sub(c.since) < quietFor {
 			break // the others are quiet for less
 		}
-		if e = e.Next(); c.began.IsZero() {
-			c.hangUp()
+		if e = e.Next(); c.began.IsZero() && c.giveUp() {
+			given = append(given, c)
 		}
 	}
+	l.closeAll(given...)
 	l.room.Signal()
 }
 
@@ -668,26 +690,27 @@
 	}
 }
 
-// Close lets a client read its answer before bytes that nobody reads any more would reset the connection.
+// Close lets a client read its answer: bytes that come as the connection is closed, and that nobody reads any more,
+// would reset it and take the answer with it. So it waits for the client's end, for a moment.
 func (c *clientConn) Close() error {
 	c.owner.mu.Lock()
-	lingers := c.served && !c.gone && c.more()
+	lingers := c.served && !c.gone && !c.owner.cut
 	c.owner.mu.Unlock()
 	if lingers && c.CloseWrite() == nil {
-		_ = c.SetReadDeadline(time.Now().Add(lingerFor))
+		_ = c.SetReadDeadline(time.Now().Add(c.owner.linger))
 		_, _ = io.CopyN(io.Discard, c.TCPConn, lingerBytes)
 	}
 	return c.TCPConn.Close()
 }
 
-// hangUp closes a connection that the node waits for, unless something has come that nobody has read yet: a
-// request that meets a close is turned back unheard.
-func (c *clientConn) hangUp() bool {
+// giveUp takes a connection that the node waits for out of service, for the caller to close without the mutex,
+// unless something has come that nobody has read yet: a request that meets a close is turned back unheard. What comes
+// from now on is not read.
+func (c *clientConn) giveUp() bool {
 	if len(c.stash) > 0 || !quiet(c.TCPConn) {
 		return false
 	}
 	c.forget()
-	c.TCPConn.Close()
 	return true
 }
 
@@ -700,6 +723,10 @@
 	waited := c.raw.Read(func(fd uintptr) bool {
 		c.owner.mu.Lock()
 		defer c.owner.mu.Unlock()
+		if c.gone {
+			err = net.ErrClosed
+			return true
+		}
 		for {
 			n, err = syscall.Read(int(fd), p)
 			if err != syscall.EINTR {
