Notice clients that leave wherever their request is, and begin no attempt after that

- A client with bytes behind its request (one is enough) that then leaves: net/http's reader takes the byte for a sign of life and looks no further, so that the request went on to further servers, and the requests behind it were served one by one.
In server.go Read let those bytes through.
- A request that waits for room for its body: net/http doesn't look for the end until the body is read.
ServeHTTP now looks itself before the request goes to the module (departed).
- An attempt that is dialling was called off only where the site lets the module cancel, and one whose connection came up in that moment was written.
Each request has a context of its own now, which ends with its client; acquire obeys it on every site, and a connection that came up unused is kept (upstream.attempt).
- headWatch took an empty line ahead of a request for a head, where net/http passes over it.

The test of duplicates ended a request by the node's own finish, after which nothing is taken in any more; it ends it by its client's departure now.

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -132,7 +132,7 @@
 	u := testUpstream(t, addr)
 	until := time.Now().Add(2 * time.Second)
 	var got []byte
-	u.attempt(t.Context(), "s0", testExchange(http.MethodGet, "r1", ""), attemptHost{until: until, end: func(r result) {
+	u.attempt(t.Context(), "s0", testExchange(http.MethodGet, "r1", ""), attemptHost{until: until, left: t.Context(), end: func(r result) {
 		if r.code != policy.OK || r.answer.more == nil {
 			t.Errorf("code %v", r.code)
 			return
@@ -515,12 +515,16 @@
 			head := []byte{}
 			for rest := raw; len(rest) > 0; {
 				p := rest[:min(step, len(rest))]
+				before := w.heads
 				n := w.pass(p)
 				if n <= 0 || n > len(p) {
 					t.Fatalf("lets %d of %d through", n, len(p))
 				}
 				head, rest = append(head, p[:n]...), rest[n:]
-				if bytes.HasSuffix(head, []byte("\n\n")) || bytes.HasSuffix(head, []byte("\n\r\n")) || string(head) == "\n" || string(head) == "\r\n" {
+				if w.heads != before { // empty lines ahead of it belong to it, and none of them ends it
+					if end := strings.TrimLeft(string(head), "\r\n"); !strings.HasSuffix(end, "\n\n") && !strings.HasSuffix(end, "\n\r\n") {
+						t.Fatalf("%q is no head", head)
+					}
 					all = append(all, fmt.Sprintf("%q %+v", head, w.flaws))
 					head = nil
 				}
--- a/internal/node/head.go
+++ b/internal/node/head.go
@@ -10,6 +10,7 @@
 	in    headFlaws
 	flaws headFlaws // of the last head that went through whole
 	heads int       // that did
+	begun bool      // a line of the next one has come; net/http passes over empty lines ahead of a head
 
 	line  int // bytes of the line so far
 	cr    bool
@@ -66,11 +67,13 @@
 	w.in.coding = w.in.coding || begins(field, "transfer-encoding:")
 	empty := w.line == 0 || w.line == 1 && w.cr
 	w.line, w.cr = 0, false
-	if empty {
-		w.flaws, w.in = w.in, headFlaws{}
-		w.heads++
+	if !empty || !w.begun {
+		w.begun = w.begun || !empty
+		return false
 	}
-	return empty
+	w.flaws, w.in, w.begun = w.in, headFlaws{}, false
+	w.heads++
+	return true
 }
 
 func begins(s, with string) bool { return len(s) >= len(with) && s[:len(with)] == with }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -91,6 +91,10 @@
 	ended    bool
 	attempts []attempt
 	pending  int
+	// left ends when the client has left: no attempt begins after that, whether or not the site lets the module
+	// call off those that have begun.
+	left  context.Context
+	leave context.CancelFunc
 }
 
 type attempt struct {
@@ -213,6 +217,7 @@
 		// Another request may bear the id by now.
 		if r := l.requests[e.x.req.ID]; r != nil && r.exchange == e.x && !r.ended {
 			l.settle(r)
+			r.leave()
 			l.trace.answered(l.clock.now(), r, answer{}, "client left")
 			l.tell(ctx, policy.Lapsed{ID: r.req.ID})
 			l.drop(r)
@@ -262,6 +267,7 @@
 		return
 	}
 	r := &request{exchange: x}
+	r.left, r.leave = context.WithCancel(ctx)
 	r.deadline = x.came + x.clientWaits - r.margin()
 	l.requests[x.req.ID] = r
 	l.owed++
@@ -453,6 +459,7 @@
 		defer cancel()
 		l.up.attempt(ctx, a.Server, r.exchange, attemptHost{
 			until:    l.clock.at(until),
+			left:     r.left,
 			uploaded: func(took time.Duration) { l.send(uploaded{r, took}) },
 			end:      func(e result) { l.send(ending{r, n, e}) },
 		})
@@ -498,6 +505,7 @@
 func (l *loop) drop(r *request) {
 	if r.ended && r.pending == 0 && l.requests[r.req.ID] == r {
 		delete(l.requests, r.req.ID)
+		r.leave()
 	}
 }
 
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -210,11 +210,11 @@
 
 func TestDuplicateAndSurplusRequestsAreAnsweredByTheNode(t *testing.T) {
 	l, s := startLoop(t, "127.0.0.1:9", func(policy.Time, policy.Event) []policy.Action { return nil })
-	l.arriveNow("r1", long)
+	x := l.arriveNow("r1", long)
 	if a := receive(t, "the answer", l.arriveNow("r1", long).reply); a.status != http.StatusConflict {
 		t.Errorf("duplicate: status %d", a.status)
 	}
-	l.send(finish{})
+	l.send(departure{x: x})
 	if a := receive(t, "the answer", l.arriveNow("r1", long).reply); a.status != http.StatusConflict {
 		t.Errorf("duplicate of one that is over: status %d", a.status)
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -33,6 +33,7 @@
 	lingerFor     = 500 * time.Millisecond  // for the body of a request that was refused unread, or what is behind it
 	lingerBytes   = 256 << 10               // of that
 	mostSpared    = 8                       // requests behind one another on a connection that is to end
+	aheadMost     = 64 << 10                // bytes behind a request in hand that are read to see whether its client is there
 	readyPath     = "/health/ready"
 )
 
@@ -113,14 +114,14 @@
 	c := clientOf(r)
 	switch {
 	case !r.ProtoAtLeast(1, 1): // net/http ignores a transfer coding there
-		reject(w, http.StatusBadRequest, "want version 1.1")
+		reject(w, c, http.StatusBadRequest, "want version 1.1")
 		return
 	case c == nil && len(r.TransferEncoding) > 0: // nobody saw the head that net/http read
-		reject(w, http.StatusBadRequest, "want Content-Length for a body")
+		reject(w, c, http.StatusBadRequest, "want Content-Length for a body")
 		return
 	case c != nil:
 		if problem := c.flaws().problem(); problem != "" {
-			reject(w, http.StatusBadRequest, problem)
+			reject(w, c, http.StatusBadRequest, problem)
 			return
 		}
 	}
@@ -129,7 +130,7 @@
 	}
 	if r.URL.Path == readyPath && r.Method == http.MethodGet {
 		if r.ContentLength != 0 { // net/http would wait for it, with no end
-			reject(w, http.StatusBadRequest, "no body is wanted here")
+			reject(w, c, http.StatusBadRequest, "no body is wanted here")
 			return
 		}
 		s.health(w)
@@ -137,10 +138,13 @@
 	}
 	x, status, problem := s.read(w, r)
 	if x == nil {
-		reject(w, status, problem)
+		reject(w, c, status, problem)
 		return
 	}
 	defer x.claim.free()
+	if x.rest == nil && c.departed() { // while it was read, or waited for room
+		panic(http.ErrAbortHandler)
+	}
 	var broken <-chan struct{}
 	if x.rest != nil {
 		broken = x.rest.left
@@ -155,7 +159,7 @@
 	case <-broken:
 		s.depart(x)
 		status, problem := bodyProblem(x.rest.failure())
-		reject(w, status, problem)
+		reject(w, c, status, problem)
 	case <-s.loop.done:
 		w.WriteHeader(http.StatusBadGateway)
 	}
@@ -284,8 +288,9 @@
 
 // reject answers a request that is not to be served, and ends its connection: where its body ends is
 // in doubt, and what follows it is not to be trusted.
-func reject(w http.ResponseWriter, status int, problem string) {
+func reject(w http.ResponseWriter, c *clientConn, status int, problem string) {
 	w.Header().Set("Connection", "close")
+	c.discard()
 	// Behind the answer net/http reads what is left of the body, for a close with bytes unread would
 	// reset the connection before the client has read the answer; but neither for long nor all of a large
 	// one, which would cost the others the processor. An error here means that the connection is gone.
@@ -404,6 +409,7 @@
 	case x.length < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF) && up.failure() == nil:
 		x.claim.shrink(int64(n))
 		x.body, x.length = slices.Clone(x.body), int64(n)
+		clientOf(r).complete()
 		return nil
 	}
 	return err
@@ -464,6 +470,9 @@
 	gone  bool
 	watch headWatch
 	stash []byte // read, but not let through yet
+	// inHand says that the node has a whole request. What comes behind it is read ahead and kept back, for
+	// net/http takes a byte of it for a sign of life and looks no further for the client's end.
+	inHand bool
 
 	served bool // it has had an answer
 	spared int  // times that it was not ended for the request behind
@@ -626,6 +635,7 @@
 
 // rest puts a connection at the end of those waited for: it owes a request.
 func (c *clientConn) rest() {
+	c.inHand = false
 	c.since, c.began = time.Now(), time.Time{}
 	if c.watch.line > 0 { // net/http looks ahead by a byte
 		c.began = c.since
@@ -650,6 +660,7 @@
 	heads, body := c.watch.heads, c.watch.body
 	n := c.watch.pass(p)
 	if c.watch.heads != heads || body > 0 && c.watch.body == 0 {
+		c.inHand = true
 		c.leaveLine() // at once: by the time that its handler runs, it might have made room for another
 	}
 	return n
@@ -723,16 +734,15 @@
 	waited := c.raw.Read(func(fd uintptr) bool {
 		c.owner.mu.Lock()
 		defer c.owner.mu.Unlock()
-		if c.gone {
+		switch {
+		case c.gone:
 			err = net.ErrClosed
 			return true
+		case c.inHand:
+			err = c.readAhead(int(fd))
+			return err != nil
 		}
-		for {
-			n, err = syscall.Read(int(fd), p)
-			if err != syscall.EINTR {
-				break
-			}
-		}
+		n, err = readSocket(int(fd), p)
 		if n > 0 {
 			whole := p[:n]
 			if n = c.let(whole); n < len(whole) {
@@ -741,22 +751,86 @@
 		}
 		return err != syscall.EAGAIN
 	})
-	switch {
-	case waited != nil:
-		return 0, waited
-	case err != nil:
-		return 0, os.NewSyscallError("read", err)
-	case n == 0:
-		return 0, io.EOF
+	if err == nil {
+		err = waited
+	}
+	return n, err
+}
+
+// readSocket takes what has come: syscall.EAGAIN stands for nothing, and io.EOF for the client's end.
+func readSocket(fd int, p []byte) (n int, err error) {
+	for {
+		n, err = syscall.Read(fd, p)
+		switch {
+		case err == syscall.EINTR:
+		case err == syscall.EAGAIN:
+			return 0, err
+		case err != nil:
+			return 0, os.NewSyscallError("read", err)
+		case n == 0:
+			return 0, io.EOF
+		default:
+			return n, nil
+		}
+	}
+}
+
+// readAhead keeps what has come behind the request in hand, and returns an error once the client has gone.
+func (c *clientConn) readAhead(fd int) error {
+	for len(c.stash) < aheadMost {
+		var piece [4 << 10]byte
+		n, err := readSocket(fd, piece[:min(len(piece), aheadMost-len(c.stash))])
+		switch {
+		case err == syscall.EAGAIN:
+			return nil
+		case err != nil:
+			return err
+		}
+		c.stash = append(c.stash, piece[:n]...)
+	}
+	return nil
+}
+
+// departed tells whether the client of the request in hand has closed its connection, as far as the system knows:
+// net/http says so only once its reader has run.
+func (c *clientConn) departed() bool {
+	if c == nil {
+		return false
+	}
+	err := error(nil)
+	failed := c.raw.Control(func(fd uintptr) {
+		c.owner.mu.Lock()
+		defer c.owner.mu.Unlock()
+		if c.inHand {
+			err = c.readAhead(int(fd))
+		}
+	})
+	return failed != nil || err != nil
+}
+
+// complete notes that a body whose length was not told has come whole.
+func (c *clientConn) complete() {
+	if c != nil {
+		c.owner.mu.Lock()
+		c.inHand = true
+		c.owner.mu.Unlock()
+	}
+}
+
+// discard lets all that still comes through, for it is not to be served.
+func (c *clientConn) discard() {
+	if c != nil {
+		c.owner.mu.Lock()
+		c.inHand, c.watch.body = false, -1
+		c.owner.mu.Unlock()
 	}
-	return n, nil
 }
 
 // unstash takes from what was read before.
 func (c *clientConn) unstash(p []byte) int {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	if len(c.stash) == 0 {
+	if len(c.stash) == 0 || c.inHand || c.gone {
 		return 0
 	}
 	n := c.let(p[:copy(p, c.stash)])
@@ -778,7 +852,7 @@
 func (c *clientConn) expect(length int64) (began time.Time) {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	c.watch.body = length
+	c.watch.body, c.inHand = length, false
 	if 0 < length && length <= wholeBody && c.place == nil && !c.gone { // others have a pace to keep
 		c.place = c.owner.waiting.PushBack(c)
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -32,6 +32,7 @@
 var (
 	errUnknown   = errors.New("not in the list")
 	errLeaving   = errors.New("the server began to leave before anything was sent")
+	errLeft      = errors.New("the client left before anything was sent")
 	errNoSockets = errors.New("no descriptor is left for another connection")
 	errSpoilt    = errors.New("the answer can't be read")
 )
@@ -223,16 +224,16 @@
 }
 
 // acquire takes an idle connection to the server, or makes one. It gives up as soon as the server begins
-// to leave: the rule on drains counts from a request's first byte, and a connection may come up late.
-func (u *upstream) acquire(ctx context.Context, id string) (*conn, error) {
+// to leave, or the client has left: both count against a request's first byte, and a connection may come up late.
+func (u *upstream) acquire(ctx, left context.Context, id string) (*conn, error) {
 	p, c, leaving, err := u.reserve(id)
 	if c != nil || err != nil {
 		return c, err
 	}
 	ctx, cancel := context.WithCancelCause(ctx)
 	defer cancel(nil)
-	stop := context.AfterFunc(leaving, func() { cancel(errLeaving) })
-	defer stop()
+	defer context.AfterFunc(leaving, func() { cancel(errLeaving) })()
+	defer context.AfterFunc(left, func() { cancel(errLeft) })()
 	tcp, err := u.dial(ctx, "tcp", p.addr)
 	if err == nil && leaving.Err() != nil {
 		tcp.Close()
@@ -370,6 +371,7 @@
 // attemptHost is told how an attempt goes.
 type attemptHost struct {
 	until    time.Time           // when it times out; a large body puts that off by the time it takes
+	left     context.Context     // ends when the client has left: from then on it must not begin
 	uploaded func(time.Duration) // a large body went on whole; not called for others
 	end      func(result)        // called once, with a large answer as it begins to come
 }
@@ -387,8 +389,15 @@
 	if x.rest != nil {
 		limit.Stop() // until it has gone on
 	}
-	c, err := u.acquire(ctx, id)
+	c, err := u.acquire(ctx, host.left, id)
+	if err == nil && (ctx.Err() != nil || host.left.Err() != nil) {
+		u.release(c, id, true) // not a byte was written on it
+		err = context.Cause(ctx)
+	}
 	switch {
+	case host.left.Err() != nil:
+		host.end(result{code: policy.Cancelled, err: errLeft})
+		return
 	case errors.Is(err, errNoSockets) && ctx.Err() == nil:
 		host.end(result{code: policy.Moot}) // nothing was sent, and the server is not to blame
 		return
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -31,7 +31,7 @@
 
 // attemptAt makes one attempt, and takes in all of its answer; one whose rest breaks off has failed.
 func attemptAt(ctx context.Context, u *upstream, id string, x *exchange, until time.Time) (r result) {
-	u.attempt(ctx, id, x, attemptHost{until: until, uploaded: func(time.Duration) {}, end: func(e result) {
+	u.attempt(ctx, id, x, attemptHost{until: until, left: context.Background(), uploaded: func(time.Duration) {}, end: func(e result) {
 		if r = e; r.answer.more == nil {
 			r.answer.claim.free()
 			return
