Let a node of many have less out when answers come late

One node (n5, 16 requests a second), seconds 5 to 10: served=0 timeout:67, over 18 servers. Their work goes on after a time-out, so that the nodes together kept them jammed.

Lines at fault: policy.go, crowded. Thresholds would learn it, but no node meets one server often enough.

Now that bound is scaled by ease, which time-outs and answers past the aim lower by a tenth, and good answers raise by a fiftieth, whichever servers they came from (the steps that trust in shared servers has); attempts at ejected servers don't count in it. It holds where nodes outnumber the attempts that a server takes, as the bound does.

Ruled out: buckets (15 % of the requests a window), thresholds of the servers that answer (far from reached).

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,7 @@
 	b := &Balancer{
 		set: set, now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))),
 		classes: make(map[string]*class), tenants: make(map[string]Limit),
-		buckets: make(map[bucketKey]*bucket), pace: 1, trust: 1, blame: 1,
+		buckets: make(map[bucketKey]*bucket), pace: 1, trust: 1, blame: 1, ease: 1,
 		rates:   make(map[string]float64),
 		servers: make(map[string]*server), reqs: make(map[string]*request), budget: defaultBudget,
 	}
@@ -260,6 +260,7 @@
 	busyGain          = 0.05          // weight of one report in how busy the servers are
 	busyFrom          = 0.7           // part of the servers' cores in use from which a node keeps to less,
 	busyFull          = 0.95          // down to no more than the servers take at once
+	easeLeast         = 0.05          // part of that below which late answers make no node have less out
 	crowdLimit        = 2.0           // times its limit, the least busy is filled; more would only be late
 	slowPart          = 0.4           // part of the aim from which an answer tells of a crowd; later, queues jam
 	keyHomes          = 3             // servers that keep a key warm in each zone
@@ -359,13 +360,13 @@
 	}
 	out, warm := 0, 0.0
 	for _, s := range b.order {
-		if b.ramp(s) >= 1 {
+		if b.ramp(s) >= 1 && !s.health.out {
 			out += b.holds(s)
 			warm++
 		}
 	}
 	spare := min(1, max(0, (busyFull-b.busy)/(busyFull-busyFrom)))
-	return float64(out) >= max(1, (1+spare*(crowdLimit-1))*startFew*warm/float64(b.set.Nodes))
+	return float64(out) >= max(1, b.ease*(1+spare*(crowdLimit-1))*startFew*warm/float64(b.set.Nodes))
 }
 
 // crowding sets attempts in flight against what s was seen to take, lest one that others fill look idle.
@@ -470,6 +471,11 @@
 	} else if b.shared(s) && bad && code != Full {
 		b.trust = max(1, b.trust*(1-trustCut))
 	}
+	if code == TimedOut || code == OK && latency > c.Aim { // whatever else is wrong, servers have more than they can do in time
+		b.ease = max(easeLeast, b.ease*(1-trustCut))
+	} else if code == OK {
+		b.ease = min(1, b.ease*(1+trustGrow))
+	}
 	s.felt = s.felt || bad
 	least := leastPart * min(b.start(s), startFew/float64(b.set.Nodes))
 	s.threshold = max(least, s.threshold+step*min(1, s.threshold))
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -1280,3 +1280,62 @@
 		}
 	}
 }
+
+// Where nodes are many, one whose answers come late has less and less out, whichever servers they came from: all nodes
+// together would jam one server after the other, long before any of them has learned of each. It has more out again as
+// answers come in time; errors and refusals tell nothing of that.
+func TestManyNodesEaseOffWithLateAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		code    Code
+		latency time.Duration
+		less    bool
+	}{"time-outs": {TimedOut, 250 * ms, true}, "late answers": {OK, 300 * ms, true}, "slow ones in time": {OK, 200 * ms, false},
+		"errors": {ServerError, ms, false}, "refusals": {Full, ms, false}, "answers in time": {OK, ms, false}} {
+		set := site(300)
+		set.Node, set.Tenants = 7, nil // no buckets
+		b := start(t, set, members(200))
+		now, n := time.Minute, 0
+		answer := func(times int, code Code, latency time.Duration) {
+			for range times {
+				n++
+				now += 100 * ms
+				sent := of(b.Handle(now, ask(fmt.Sprint(n), "once")), Send)
+				for attempt := 0; len(sent) > 0; attempt++ { // what was refused is sent again
+					sent = of(b.Handle(now, outcome(sent[0].ID, attempt, sent[0].Server, code, latency)), Send)
+				}
+			}
+		}
+		// most is how many requests can be out at once.
+		most := func() int {
+			now += time.Minute // nobody works on what was given up
+			for _, s := range b.order {
+				s.health, s.threshold, s.lastSend = health{}, b.start(s), 0
+			}
+			b.countEjected()
+			var out []Action
+			for range 20 {
+				n++
+				out = append(out, of(b.Handle(now, ask(fmt.Sprint(n), "once")), Send)...)
+			}
+			for _, a := range out {
+				b.Handle(now, Lapsed{a.ID})
+				b.Handle(now, outcome(a.ID, 0, a.Server, Cancelled, ms))
+			}
+			now += time.Minute
+			b.Handle(now, Timer{Token: holdToken}) // who was held is refused
+			return len(out)
+		}
+		all := most()
+		if all < 5 {
+			t.Fatalf("%d requests can be out at first", all)
+		}
+		answer(40, c.code, c.latency)
+		if got := most(); c.less && got > all/3 || !c.less && got < all {
+			t.Errorf("after %s, %d requests can be out, %d at first", name, got, all)
+		}
+		answer(400, OK, ms)
+		if got := most(); got <= all/2 {
+			t.Errorf("after %s and answers in time, %d requests can be out, %d at first", name, got, all)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -25,6 +25,7 @@
 	buckets  map[bucketKey]*bucket
 	pace     float64 // scale of all bucket rates
 	trust    float64 // scale of the thresholds of servers that other nodes mostly use
+	ease     float64 // scale of what this node may have out where nodes are many, by late answers
 	fullPart float64 // part of full answers among the bad ones lately
 	bad      float64 // part of bad answers lately
 	blame    float64 // part of its weight that an error or a reset has, as others have them too
