Give bad trials of ejected servers a small part of a node's requests

Part of these are trials: policy.go, trial, sends each ejected server a request a second from each node, whatever its traffic. With 68 servers out that is four times what a node with 16 requests a second gets, so that nearly each request that may be repeated goes to a jammed server first.

Now a bad trial has to be paid for by 20 requests; three may be saved up, and a good one costs nothing, so that servers that answer again are back as fast as requests come. The test counts 20 silent servers of 60 at one of 300 nodes; without the bound not even all of them are ejected, for all attempts are trials.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,7 @@
 	b := &Balancer{
 		set: set, now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))),
 		classes: make(map[string]*class), tenants: make(map[string]Limit),
-		buckets: make(map[bucketKey]*bucket), pace: 1, trust: 1, blame: 1, ease: 1,
+		buckets: make(map[bucketKey]*bucket), pace: 1, trust: 1, blame: 1, ease: 1, trials: trialMost,
 		rates:   make(map[string]float64),
 		servers: make(map[string]*server), reqs: make(map[string]*request), budget: defaultBudget,
 	}
@@ -172,6 +172,7 @@
 	}
 	b.reqs[r.id] = r
 	b.took = append(since(b.took, b.now-b.budget.Span+1), b.now)
+	b.trials = min(trialMost, b.trials+trialShare)
 	if b.spent(r) {
 		b.giveUp(r, "worth nothing any more")
 		return
@@ -868,6 +869,8 @@
 	ejectMost     = 8 * time.Second // up to this
 	maxEjected    = 0.4             // part of the fleet; when more seems broken, the cause isn't the servers
 	trialsNeeded  = 3               // good trials in a row: half of them pass at a server that fails half
+	trialShare    = 0.05            // of a node's requests may go to bad trials: all nodes' together would keep many
+	trialMost     = trialsNeeded    // servers jammed, and take the time of most requests. So many are saved up
 )
 
 // judge moves the breaker of an attempt's server by its outcome.
@@ -875,6 +878,7 @@
 	s, h := a.server, &a.server.health
 	switch {
 	case h.out && a.trial && code == OK:
+		b.trials = min(trialMost, b.trials+1) // it cost nobody anything
 		if h.trials++; h.hung || h.trials >= trialsNeeded {
 			*h, s.threshold = health{}, b.start(s)
 			b.countEjected()
@@ -943,13 +947,14 @@
 // the server is open to, one that may be repeated most freely.
 func (b *Balancer) trial(r *request) *server {
 	open := r.class.open
-	if open.ejected == 0 || len(r.attempts) > 0 {
+	if open.ejected == 0 || len(r.attempts) > 0 || b.trials < 1 {
 		return nil
 	}
 	for _, s := range open.order {
 		h := &s.health
 		if h.out && !h.trialOut && b.now >= h.until && r.class.Repeat >= s.safest && b.coldRoom(s) {
 			h.trialOut = true
+			b.trials--
 			return s
 		}
 	}
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -1255,6 +1255,7 @@
 		}
 		try := func(code Code) {
 			id := fmt.Sprint(now)
+			b.trials = trialMost // others have come meanwhile
 			if got := sentTo(t, b.Handle(now, ask(id, "free"))); got != s.Server {
 				t.Fatalf("%v: the trial at %v went to %s", c.code, now, got)
 			}
@@ -1339,3 +1340,54 @@
 		}
 	}
 }
+
+// A third of many servers falls silent for a node with little traffic. Its trials take a small part of its requests,
+// for those of all nodes together would keep the servers jammed; once the servers answer, it soon uses all again.
+func TestTrialsOfManySilentServersTakeFewRequests(t *testing.T) {
+	const servers, silent, gap = 60, 20, 50 * ms
+	set := site(300)
+	set.Node = 7
+	b := start(t, set, members(servers))
+	now, n, dead := time.Minute, 0, map[string]bool{}
+	for _, s := range b.order[:silent] {
+		dead[s.Server] = true
+	}
+	// round takes in requests, one after the other, and returns how many went to the silent servers first.
+	round := func(requests int, answers bool) (bad int) {
+		for range requests {
+			n++
+			now += gap
+			id := fmt.Sprint(n)
+			acts := b.Handle(now, Request{ID: id, Class: "free", Tenant: "t", ExpiresIn: time.Second})
+			for attempt := 0; len(of(acts, Send)) > 0; attempt++ {
+				s := of(acts, Send)[0].Server
+				if code := OK; dead[s] && !answers {
+					if attempt == 0 {
+						bad++
+					}
+					code = TimedOut
+					now += 10 * ms
+					acts = b.Handle(now, outcome(id, attempt, s, code, 10*ms))
+					continue
+				}
+				acts = b.Handle(now, outcome(id, attempt, s, OK, 10*ms))
+			}
+		}
+		return bad
+	}
+	for out := 0; out < silent; {
+		round(20, false)
+		if out = b.ejected; n > 10_000 {
+			t.Fatalf("%d of %d silent servers are ejected", out, silent)
+		}
+	}
+	const requests = 1000
+	if bad := round(requests, false); float64(bad) > trialMost+trialShare*requests {
+		t.Errorf("%d of %d requests went to silent servers", bad, requests)
+	}
+	for back := 0; b.ejected > 0; back++ {
+		if round(1, true); back > 8*silent {
+			t.Fatalf("%d servers are still out after %d requests", b.ejected, back)
+		}
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -31,6 +31,7 @@
 	blame    float64 // part of its weight that an error or a reset has, as others have them too
 	lost     float64 // part of time-outs among all but full answers lately
 	refused  bool    // a bucket refused since the last choice
+	trials   float64 // bad trials of ejected servers that may yet be made
 	servers  map[string]*server
 	pool         // all servers in service
 	zones    int // zones that have servers
