--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -29,17 +29,20 @@
 }
 
 func run() error {
+	// Both are handled until the process has gone: a signal that came after the handlers would end it as a crash.
 	hup := make(chan os.Signal, 1) // one more that is waiting stands for all: the file is read after it
 	signal.Notify(hup, syscall.SIGHUP)
-	defer signal.Stop(hup)
 	c, err := node.LoadConfig(os.Getenv)
 	if err != nil {
 		return err
 	}
 	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(int(max(1, math.Ceil(c.Cores))))
-	ctx, stop := signal.NotifyContext(context.Background(), syscall.SIGTERM, os.Interrupt)
+	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
+	term := make(chan os.Signal, 1)
+	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
+	go func() { <-term; stop() }()
 	var doors node.Doors
 	if text := os.Getenv(inheritedVar); text != "" {
 		if doors.Clients, err = inherit(text); err != nil {
--- a/cmd/wayhold/main_test.go
+++ b/cmd/wayhold/main_test.go
@@ -15,7 +15,9 @@
 
 const long = 30 * time.Second // more than any step takes; nothing waits for it unless the test fails
 
-// agent is a discovery that has no servers to tell of, and passes on each query.
+const someServer = `{"id":"s0","host_port":"127.0.0.1:9","phase":"up"}`
+
+// agent is a discovery that has one server to tell of, and passes on each query.
 func agent(t *testing.T) (addr string, queries chan string) {
 	queries = make(chan string, 100)
 	s := httptest.NewServer(http.HandlerFunc(func(w http.ResponseWriter, r *http.Request) {
@@ -24,7 +26,7 @@
 			<-r.Context().Done()
 			return
 		}
-		fmt.Fprint(w, `{"revision":3,"complete":true,"members":[]}`)
+		fmt.Fprintf(w, `{"revision":3,"complete":true,"members":[%s]}`, someServer)
 	}))
 	t.Cleanup(s.Close)
 	return s.Listener.Addr().String(), queries
@@ -61,8 +63,8 @@
 	}
 	config := func(discovery string) string {
 		return fmt.Sprintf(`{"name":"n","listen":%q,"discovery":%q,"seed":"1",
-			"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"revision":1,"complete":true,"members":[]},
-			"settings":{"position":0,"groupSize":1,"services":[{"name":"x","deadline":600,"repeat":"free"}]}}`, listen, discovery)
+			"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"revision":1,"complete":true,"members":[%s]},
+			"settings":{"position":0,"groupSize":1,"services":[{"name":"x","deadline":600,"repeat":"free"}]}}`, listen, discovery, someServer)
 	}
 	write(config(first))
 	t.Setenv("ROUTER_CONFIG", path)
--- a/cmd/wayhold/scale_test.go
+++ b/cmd/wayhold/scale_test.go
@@ -12,6 +12,7 @@
 	"os/exec"
 	"path/filepath"
 	"regexp"
+	"runtime"
 	"strconv"
 	"strings"
 	"sync"
@@ -21,6 +22,7 @@
 
 const (
 	childVar    = "WAYHOLD_TEST_CHILD" // set where the test's binary stands in for the program
+	lateVar     = "WAYHOLD_TEST_LATE"  // set where signals come once the program has done all it does
 	many        = 1024                 // servers, and nodes, that the operators may have at least
 	leastMemory = 32                   // MB, the smallest limit in the terms
 )
@@ -28,6 +30,12 @@
 func TestMain(m *testing.M) {
 	if os.Getenv(childVar) != "" {
 		main()
+		if os.Getenv(lateVar) != "" { // as the process ends
+			runtime.LockOSThread() // one that is meant for the thread comes before the call returns
+			for _, s := range []syscall.Signal{syscall.SIGHUP, syscall.SIGTERM} {
+				_, _, _ = syscall.RawSyscall(syscall.SYS_TGKILL, uintptr(os.Getpid()), uintptr(syscall.Gettid()), uintptr(s))
+			}
+		}
 		return
 	}
 	os.Exit(m.Run())
