Share one part of a cold server between the two processes of an upgrade

policy.go, coldRoom: each process of a node took the node's whole part of a cold server's budget, so that in an upgrade a node sent twice its part (the test counts 745 requests of two processes, 373 of one). Each takes half now; handover.go tells the module how many there are (halve), as it divides the heap.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -279,12 +279,14 @@
 		return
 	}
 	s.halved = two
-	limit := debug.SetMemoryLimit(-1)
+	limit, n := debug.SetMemoryLimit(-1), 1
 	if two {
 		limit /= 2
+		n = 2
 	} else {
 		limit *= 2
 	}
+	s.loop.send(processes(n))
 	debug.SetMemoryLimit(limit)
 	slog.Info("handover", "two_processes", two, "heap_limit", limit)
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -130,8 +130,9 @@
 		n int
 		result
 	}
-	finish  struct{} // fail what is still open, for the node stops
-	bequest struct { // asks what a successor should know
+	processes int      // that this node has
+	finish    struct{} // fail what is still open, for the node stops
+	bequest   struct { // asks what a successor should know
 		reply chan legacy
 	}
 	bequeathed struct{ list } // as the process before has it by now
@@ -245,6 +246,8 @@
 			left.Policy = m.Remember(l.clock.now())
 		}
 		e.reply <- left
+	case processes:
+		l.tell(ctx, policy.Processes{N: int(e)})
 	case finish:
 		l.stopping = true
 		for _, r := range l.requests {
--- a/policy/api.go
+++ b/policy/api.go
@@ -212,6 +212,9 @@
 // Lapsed says that the client has left; no answer is owed any more.
 type Lapsed struct{ ID string }
 
+// Processes says how many processes this node has: two in an upgrade, which share what one may do.
+type Processes struct{ N int }
+
 // Timer is a timer that came due.
 type Timer struct{ Token uint64 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,7 @@
 	b := &Balancer{
 		set: set, now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))),
 		classes: make(map[string]*class), tenants: make(map[string]Limit),
-		buckets: make(map[bucketKey]*bucket), pace: 1, trust: 1, blame: 1, ease: 1, trials: trialMost,
+		buckets: make(map[bucketKey]*bucket), pace: 1, trust: 1, blame: 1, ease: 1, trials: trialMost, processes: 1,
 		rates:   make(map[string]float64),
 		servers: make(map[string]*server), reqs: make(map[string]*request), budget: defaultBudget,
 	}
@@ -65,6 +65,8 @@
 		b.onTimer(e.Token)
 	case MemberList:
 		b.onList(e)
+	case Processes:
+		b.processes = max(1, e.N)
 	}
 	return b.out
 }
@@ -1019,6 +1021,7 @@
 	if s.takes > 0 {
 		rate = min(rate, coldUse*s.takes/float64(b.set.Nodes))
 	}
+	rate /= float64(b.processes)
 	k := &s.cold
 	most := max(1, rate*b.set.Rules.FallFor.Seconds()/4)
 	k.tokens, k.last = min(most, k.tokens+rate*(b.now-k.last).Seconds()), b.now
--- a/policy/state.go
+++ b/policy/state.go
@@ -14,41 +14,42 @@
 
 // Balancer is one node's decisions. It isn't safe for concurrent use. Make one with New.
 type Balancer struct {
-	set      Settings
-	now      Time
-	rng      *rand.Rand
-	out      []Action
-	classes  map[string]*class
-	tenants  map[string]Limit
-	ranked   []*class // in the order of the settings
-	other    *Limit   // for tenants without a quota; nil: no limit
-	buckets  map[bucketKey]*bucket
-	pace     float64 // scale of all bucket rates
-	trust    float64 // scale of the thresholds of servers that other nodes mostly use
-	ease     float64 // scale of what this node may have out where nodes are many, by late answers
-	fullPart float64 // part of full answers among the bad ones lately
-	bad      float64 // part of bad answers lately
-	blame    float64 // part of its weight that an error or a reset has, as others have them too
-	lost     float64 // part of time-outs among all but full answers lately
-	refused  bool    // a bucket refused since the last choice
-	trials   float64 // bad trials of ejected servers that may yet be made
-	servers  map[string]*server
-	pool         // all servers in service
-	zones    int // zones that have servers
-	reqs     map[string]*request
-	held     []*request // waiting for a usable server, oldest first
-	holding  bool       // the hold timer is set
-	budget   Budget     // of attempts beyond the first of each request
-	owed     float64    // part of an attempt not yet booked
-	took     []Time     // requests taken in the span of the budget of attempts, oldest first
-	extra    []Time     // attempts beyond a request's first in it
-	done     float64    // answers a second, as of doneAt
-	doneAt   Time
-	rates    map[string]float64      // requests a second that warm servers of each kind serve, by their reports
-	busy     float64                 // part of their cores that servers use lately, by their reports
-	recalled map[string]ServerMemory // by the process before, of servers not listed yet
-	succeeds bool                    // a process of this node came before, and was alive at the start
-	silent   [6]float64              // part of sends unanswered, by how long the connection was idle, in octaves
+	set       Settings
+	now       Time
+	rng       *rand.Rand
+	out       []Action
+	classes   map[string]*class
+	tenants   map[string]Limit
+	ranked    []*class // in the order of the settings
+	other     *Limit   // for tenants without a quota; nil: no limit
+	buckets   map[bucketKey]*bucket
+	pace      float64 // scale of all bucket rates
+	trust     float64 // scale of the thresholds of servers that other nodes mostly use
+	ease      float64 // scale of what this node may have out where nodes are many, by late answers
+	fullPart  float64 // part of full answers among the bad ones lately
+	bad       float64 // part of bad answers lately
+	blame     float64 // part of its weight that an error or a reset has, as others have them too
+	lost      float64 // part of time-outs among all but full answers lately
+	refused   bool    // a bucket refused since the last choice
+	processes int     // of this node
+	trials    float64 // bad trials of ejected servers that may yet be made
+	servers   map[string]*server
+	pool          // all servers in service
+	zones     int // zones that have servers
+	reqs      map[string]*request
+	held      []*request // waiting for a usable server, oldest first
+	holding   bool       // the hold timer is set
+	budget    Budget     // of attempts beyond the first of each request
+	owed      float64    // part of an attempt not yet booked
+	took      []Time     // requests taken in the span of the budget of attempts, oldest first
+	extra     []Time     // attempts beyond a request's first in it
+	done      float64    // answers a second, as of doneAt
+	doneAt    Time
+	rates     map[string]float64      // requests a second that warm servers of each kind serve, by their reports
+	busy      float64                 // part of their cores that servers use lately, by their reports
+	recalled  map[string]ServerMemory // by the process before, of servers not listed yet
+	succeeds  bool                    // a process of this node came before, and was alive at the start
+	silent    [6]float64              // part of sends unanswered, by how long the connection was idle, in octaves
 }
 
 // pool is a set of servers in packing order.
