Send a keyed request again only if it goes out inside its window

The module asks for a repeat inside the window, counted from the first attempt that may have run (policy.go, mayRun); but the connection may come up later, up to the connect timeout after that, and upstream.attempt wrote the request all the same. With windows as short as a second that is a send outside it. Found by reading; the test lets the connection come up after the window, and finds the request at the server without the change. Now the action says by when it has to have gone out, and an attempt that hasn't is moot: the server is not to blame, and the connection is kept.

--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"fmt"
 	"io"
 	"net"
 	"net/http"
@@ -207,3 +208,40 @@
 		})
 	}
 }
+
+// A keyed request may only be sent again for a while. A connection that comes up after that carries nothing, and the
+// module is told that the attempt was not made.
+func TestConnectionThatComesUpAfterTheWindow(t *testing.T) {
+	for _, comes := range []bool{false, true} {
+		got := make(chan string, 10)
+		addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) { got <- r.Header.Get("X-Request-Id") })
+		var l *loop
+		set := make(chan struct{})
+		l, module := startLoop(t, addr, func(now policy.Time, ev policy.Event) []policy.Action {
+			if e, ok := ev.(policy.Request); ok {
+				<-set
+				return []policy.Action{{Kind: policy.Send, ID: e.ID, Server: "s0", By: now + time.Millisecond}}
+			}
+			return nil
+		})
+		dial := l.up.dial
+		l.up.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+			c, err := dial(context.WithoutCancel(ctx), network, addr)
+			<-ctx.Done()
+			if !comes {
+				c.Close()
+				return nil, context.Cause(ctx)
+			}
+			return c, err
+		}
+		close(set)
+		l.arriveNow("r1", long)
+		module.has(t, "list 2", "request r1", fmt.Sprintf("outcome r1 0 code %d ended false", policy.Moot))
+		if len(got) > 0 {
+			t.Errorf("it was sent on (the connection comes up %v)", comes)
+		}
+		if open, idle := l.up.counts("s0"); open != idle {
+			t.Errorf("%d connections open, %d idle", open, idle)
+		}
+	}
+}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -455,6 +455,10 @@
 	if a.Until > 0 {
 		until = min(until, a.Until)
 	}
+	var by time.Time
+	if a.By > 0 {
+		by = l.clock.at(a.By)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	l.lastSent[a.Server] = sending{a.ID, now}
 	r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: cancel})
@@ -462,6 +466,7 @@
 		defer cancel()
 		l.up.attempt(ctx, a.Server, r.exchange, attemptHost{
 			until:    l.clock.at(until),
+			by:       by,
 			left:     r.left,
 			uploaded: func(took time.Duration) { l.send(uploaded{r, took}) },
 			end:      func(e result) { l.send(ending{r, n, e}) },
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -33,6 +33,7 @@
 	errUnknown   = errors.New("not in the list")
 	errLeaving   = errors.New("the server began to leave before anything was sent")
 	errLeft      = errors.New("the client left before anything was sent")
+	errTooLate   = errors.New("the time in which it may be sent again is over")
 	errNoSockets = errors.New("no descriptor is left for another connection")
 	errSpoilt    = errors.New("the answer can't be read")
 )
@@ -371,6 +372,7 @@
 // attemptHost is told how an attempt goes.
 type attemptHost struct {
 	until    time.Time           // when it times out; a large body puts that off by the time it takes
+	by       time.Time           // it must not begin later; zero: at any time
 	left     context.Context     // ends when the client has left: from then on it must not begin
 	uploaded func(time.Duration) // a large body went on whole; not called for others
 	end      func(result)        // called once, with a large answer as it begins to come
@@ -389,16 +391,24 @@
 	if x.rest != nil {
 		limit.Stop() // until it has gone on
 	}
-	c, err := u.acquire(ctx, host.left, id)
-	if err == nil && (ctx.Err() != nil || host.left.Err() != nil) {
+	begin, cancelBegin := ctx, context.CancelFunc(func() {})
+	if !host.by.IsZero() {
+		begin, cancelBegin = context.WithDeadlineCause(ctx, host.by, errTooLate)
+	}
+	c, err := u.acquire(begin, host.left, id)
+	over := context.Cause(begin)
+	cancelBegin()
+	if err == nil && (over != nil || host.left.Err() != nil) {
 		u.release(c, id, true) // not a byte was written on it
-		err = context.Cause(ctx)
+	}
+	if over != nil {
+		err = over
 	}
 	switch {
 	case host.left.Err() != nil:
 		host.end(result{code: policy.Cancelled, err: errLeft})
 		return
-	case errors.Is(err, errNoSockets) && ctx.Err() == nil:
+	case (errors.Is(err, errNoSockets) || errors.Is(err, errTooLate)) && ctx.Err() == nil:
 		host.end(result{code: policy.Moot}) // nothing was sent, and the server is not to blame
 		return
 	case err != nil:
--- a/policy/api.go
+++ b/policy/api.go
@@ -237,7 +237,7 @@
 
 // What a node can do; the comments name the fields of Action that count.
 const (
-	Send      ActionKind = iota // ID, Server, Until
+	Send      ActionKind = iota // ID, Server, Until, By
 	Refuse                      // ID, Wait: the client may safely come again; Text says why, for the log
 	Fail                        // ID: promises nothing; Text as for Refuse
 	Cancel                      // ID, Attempt
@@ -256,6 +256,7 @@
 	ID      string
 	Server  string
 	Until   Time // when the attempt times out; 0: with the client's deadline
+	By      Time // a send that has not gone out by then must not go out any more; 0: no such time
 	Wait    time.Duration
 	Token   uint64
 	Attempt int
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -570,7 +570,11 @@
 		b.charge(r)
 	}
 	idle := b.freshen(s)
-	b.do(Action{Kind: Send, ID: r.id, Server: s.Server, Until: r.worthTo})
+	a := Action{Kind: Send, ID: r.id, Server: s.Server, Until: r.worthTo}
+	if r.ranOn != nil && r.class.Repeat == Guarded { // the window may close while a connection comes up
+		a.By = r.ranOn.sent + r.class.Window
+	}
+	b.do(a)
 	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, trial: trial, idle: idle})
 	r.pending++
 	if s.inflight == 0 {
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -1391,3 +1391,24 @@
 		}
 	}
 }
+
+// A repeat of a keyed request says by when it has to have gone out; a first attempt has all its time.
+func TestRepeatsOfKeyedRequestsSayByWhen(t *testing.T) {
+	b := start(t, site(1), members(4))
+	for i, c := range b.ranked {
+		id, now := c.Name, time.Minute+time.Duration(i)*time.Second
+		first := of(b.Handle(now, Request{ID: id, Class: c.Name, Tenant: "t", ExpiresIn: time.Second}), Send)
+		if len(first) != 1 || first[0].By != 0 {
+			t.Fatalf("%s: %+v", id, first)
+		}
+		for _, again := range of(b.Handle(now+50*ms, outcome(id, 0, first[0].Server, Reset, 50*ms)), Send) {
+			want := Time(0)
+			if c.Repeat == Guarded {
+				want = now + c.Window
+			}
+			if again.By != want {
+				t.Errorf("%s: sent again until %v, want %v", id, again.By, want)
+			}
+		}
+	}
+}
