Be ready only with a server to send to, but not later than 5 s for that

A node whose configuration knows no server said that it was ready at once (node.Run, after the known list), and could serve nobody until discovery was heard, which may take 4 s and its queue where nodes are many. With a known list, however old, it is ready at once as before, whatever discovery does.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -69,6 +69,7 @@
 	events   chan any
 	done     chan struct{} // closed when the loop has ended
 	ready    chan struct{} // closed when the known list is in
+	serves   chan struct{} // closed when a server is known
 	requests map[string]*request
 	members  map[string]member  // the list as it stands
 	listedAt int64              // its revision
@@ -144,7 +145,7 @@
 		return nil, err
 	}
 	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up,
-		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}),
+		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}), serves: make(chan struct{}),
 		requests: make(map[string]*request), lastSent: make(map[string]sending), used: ids{seed: maphash.MakeSeed()}}
 	l.disc = newDiscovery(c, l.send)
 	return l, nil
@@ -317,6 +318,7 @@
 	if n.kind != policy.ListUnavailable {
 		l.up.update(n)
 		l.noteLeaving(n, l.keep(n))
+		l.noteServers()
 	}
 	members := make([]policy.Member, len(n.members))
 	for i, m := range n.members {
@@ -357,6 +359,21 @@
 	return leaving
 }
 
+// noteServers says once that there is a server to send to.
+func (l *loop) noteServers() {
+	select {
+	case <-l.serves:
+		return
+	default:
+	}
+	for _, m := range l.members {
+		if m.Availability == policy.Running {
+			close(l.serves)
+			return
+		}
+	}
+}
+
 // noteLeaving tells the log of each server that leaves, and of the last request that went there.
 func (l *loop) noteLeaving(n news, leaving []member) {
 	if len(leaving) > 0 && !n.asked.IsZero() {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -18,6 +18,7 @@
 	leavingPart  = 0.6                    // of that, in which the node still takes in what comes
 	leavingLeast = 450 * time.Millisecond // new connections come for up to 0.4 s after SIGTERM
 	killSlack    = 300 * time.Millisecond // of the 0.7 s that SIGKILL comes after the longest deadline
+	readyLatest  = 5 * time.Second        // a node that knows no server says that it is ready after this all the same
 	lookEvery    = 10 * time.Millisecond  // for whether clients are left
 	lastAnswers  = 100 * time.Millisecond // for what is failed then to reach its clients
 )
@@ -98,7 +99,12 @@
 		shares.step(time.Now())
 		parts.Go(func() { shares.run(running) })
 	}
-	s.life.load()
+	parts.Go(func() {
+		if !l.awaitServers(running) {
+			slog.Warn("ready without knowing a server")
+		}
+		s.life.load()
+	})
 	failed := make(chan error, 1)
 	parts.Go(func() { failed <- s.http.Serve(clients) })
 	select {
@@ -110,6 +116,20 @@
 	return nil
 }
 
+// awaitServers waits until a server is known, but not for longer than the pages leave time for, and reports which:
+// discovery may be away, and the front would send nobody for as long.
+func (l *loop) awaitServers(ctx context.Context) bool {
+	late := time.NewTimer(readyLatest)
+	defer late.Stop()
+	select {
+	case <-l.serves:
+		return true
+	case <-late.C:
+	case <-ctx.Done():
+	}
+	return false
+}
+
 // succeed takes this process's place among the node's, and what the one before it has left.
 func succeed(c *Config) (*handover, legacy) {
 	if c.Handover == "" {
