--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -69,6 +69,7 @@
 	events   chan any
 	done     chan struct{} // closed when the loop has ended
 	ready    chan struct{} // closed when the known list is in
+	serves   chan struct{} // closed when a server is known
 	requests map[string]*request
 	members  map[string]member  // the list as it stands
 	listedAt int64              // its revision
@@ -130,8 +131,9 @@
 		n int
 		result
 	}
-	finish  struct{} // fail what is still open, for the node stops
-	bequest struct { // asks what a successor should know
+	processes int      // that this node has
+	finish    struct{} // fail what is still open, for the node stops
+	bequest   struct { // asks what a successor should know
 		reply chan legacy
 	}
 	bequeathed struct{ list } // as the process before has it by now
@@ -143,7 +145,7 @@
 		return nil, err
 	}
 	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up,
-		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}),
+		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}), serves: make(chan struct{}),
 		requests: make(map[string]*request), lastSent: make(map[string]sending), used: ids{seed: maphash.MakeSeed()}}
 	l.disc = newDiscovery(c, l.send)
 	return l, nil
@@ -245,6 +247,8 @@
 			left.Policy = m.Remember(l.clock.now())
 		}
 		e.reply <- left
+	case processes:
+		l.tell(ctx, policy.Processes{N: int(e)})
 	case finish:
 		l.stopping = true
 		for _, r := range l.requests {
@@ -314,6 +318,7 @@
 	if n.kind != policy.ListUnavailable {
 		l.up.update(n)
 		l.noteLeaving(n, l.keep(n))
+		l.noteServers()
 	}
 	members := make([]policy.Member, len(n.members))
 	for i, m := range n.members {
@@ -354,6 +359,21 @@
 	return leaving
 }
 
+// noteServers says once that there is a server to send to.
+func (l *loop) noteServers() {
+	select {
+	case <-l.serves:
+		return
+	default:
+	}
+	for _, m := range l.members {
+		if m.Availability == policy.Running {
+			close(l.serves)
+			return
+		}
+	}
+}
+
 // noteLeaving tells the log of each server that leaves, and of the last request that went there.
 func (l *loop) noteLeaving(n news, leaving []member) {
 	if len(leaving) > 0 && !n.asked.IsZero() {
@@ -452,6 +472,10 @@
 	if a.Until > 0 {
 		until = min(until, a.Until)
 	}
+	var by time.Time
+	if a.By > 0 {
+		by = l.clock.at(a.By)
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	l.lastSent[a.Server] = sending{a.ID, now}
 	r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: cancel})
@@ -459,6 +483,7 @@
 		defer cancel()
 		l.up.attempt(ctx, a.Server, r.exchange, attemptHost{
 			until:    l.clock.at(until),
+			by:       by,
 			left:     r.left,
 			uploaded: func(took time.Duration) { l.send(uploaded{r, took}) },
 			end:      func(e result) { l.send(ending{r, n, e}) },
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -22,7 +22,7 @@
 	b := &Balancer{
 		set: set, now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))),
 		classes: make(map[string]*class), tenants: make(map[string]Limit),
-		buckets: make(map[bucketKey]*bucket), pace: 1, trust: 1, blame: 1,
+		buckets: make(map[bucketKey]*bucket), pace: 1, trust: 1, blame: 1, ease: 1, trials: trialMost, processes: 1,
 		rates:   make(map[string]float64),
 		servers: make(map[string]*server), reqs: make(map[string]*request), budget: defaultBudget,
 	}
@@ -65,6 +65,8 @@
 		b.onTimer(e.Token)
 	case MemberList:
 		b.onList(e)
+	case Processes:
+		b.processes = max(1, e.N)
 	}
 	return b.out
 }
@@ -172,6 +174,7 @@
 	}
 	b.reqs[r.id] = r
 	b.took = append(since(b.took, b.now-b.budget.Span+1), b.now)
+	b.trials = min(trialMost, b.trials+trialShare)
 	if b.spent(r) {
 		b.giveUp(r, "worth nothing any more")
 		return
@@ -260,6 +263,7 @@
 	busyGain          = 0.05          // weight of one report in how busy the servers are
 	busyFrom          = 0.7           // part of the servers' cores in use from which a node keeps to less,
 	busyFull          = 0.95          // down to no more than the servers take at once
+	easeLeast         = 0.05          // part of that below which late answers make no node have less out
 	crowdLimit        = 2.0           // times its limit, the least busy is filled; more would only be late
 	slowPart          = 0.4           // part of the aim from which an answer tells of a crowd; later, queues jam
 	keyHomes          = 3             // servers that keep a key warm in each zone
@@ -359,13 +363,13 @@
 	}
 	out, warm := 0, 0.0
 	for _, s := range b.order {
-		if b.ramp(s) >= 1 {
+		if b.ramp(s) >= 1 && !s.health.out {
 			out += b.holds(s)
 			warm++
 		}
 	}
 	spare := min(1, max(0, (busyFull-b.busy)/(busyFull-busyFrom)))
-	return float64(out) >= max(1, (1+spare*(crowdLimit-1))*startFew*warm/float64(b.set.Nodes))
+	return float64(out) >= max(1, b.ease*(1+spare*(crowdLimit-1))*startFew*warm/float64(b.set.Nodes))
 }
 
 // crowding sets attempts in flight against what s was seen to take, lest one that others fill look idle.
@@ -470,6 +474,11 @@
 	} else if b.shared(s) && bad && code != Full {
 		b.trust = max(1, b.trust*(1-trustCut))
 	}
+	if code == TimedOut || code == OK && latency > c.Aim { // whatever else is wrong, servers have more than they can do in time
+		b.ease = max(easeLeast, b.ease*(1-trustCut))
+	} else if code == OK {
+		b.ease = min(1, b.ease*(1+trustGrow))
+	}
 	s.felt = s.felt || bad
 	least := leastPart * min(b.start(s), startFew/float64(b.set.Nodes))
 	s.threshold = max(least, s.threshold+step*min(1, s.threshold))
@@ -561,7 +570,11 @@
 		b.charge(r)
 	}
 	idle := b.freshen(s)
-	b.do(Action{Kind: Send, ID: r.id, Server: s.Server, Until: r.worthTo})
+	a := Action{Kind: Send, ID: r.id, Server: s.Server, Until: r.worthTo}
+	if r.ranOn != nil && r.class.Repeat == Guarded { // the window may close while a connection comes up
+		a.By = r.ranOn.sent + r.class.Window
+	}
+	b.do(a)
 	r.attempts = append(r.attempts, attempt{server: s, sent: b.now, trial: trial, idle: idle})
 	r.pending++
 	if s.inflight == 0 {
@@ -862,6 +875,8 @@
 	ejectMost     = 8 * time.Second // up to this
 	maxEjected    = 0.4             // part of the fleet; when more seems broken, the cause isn't the servers
 	trialsNeeded  = 3               // good trials in a row: half of them pass at a server that fails half
+	trialShare    = 0.05            // of a node's requests may go to bad trials: all nodes' together would keep many
+	trialMost     = trialsNeeded    // servers jammed, and take the time of most requests. So many are saved up
 )
 
 // judge moves the breaker of an attempt's server by its outcome.
@@ -869,6 +884,7 @@
 	s, h := a.server, &a.server.health
 	switch {
 	case h.out && a.trial && code == OK:
+		b.trials = min(trialMost, b.trials+1) // it cost nobody anything
 		if h.trials++; h.hung || h.trials >= trialsNeeded {
 			*h, s.threshold = health{}, b.start(s)
 			b.countEjected()
@@ -937,13 +953,14 @@
 // the server is open to, one that may be repeated most freely.
 func (b *Balancer) trial(r *request) *server {
 	open := r.class.open
-	if open.ejected == 0 || len(r.attempts) > 0 {
+	if open.ejected == 0 || len(r.attempts) > 0 || b.trials < 1 {
 		return nil
 	}
 	for _, s := range open.order {
 		h := &s.health
 		if h.out && !h.trialOut && b.now >= h.until && r.class.Repeat >= s.safest && b.coldRoom(s) {
 			h.trialOut = true
+			b.trials--
 			return s
 		}
 	}
@@ -1008,6 +1025,7 @@
 	if s.takes > 0 {
 		rate = min(rate, coldUse*s.takes/float64(b.set.Nodes))
 	}
+	rate /= float64(b.processes)
 	k := &s.cold
 	most := max(1, rate*b.set.Rules.FallFor.Seconds()/4)
 	k.tokens, k.last = min(most, k.tokens+rate*(b.now-k.last).Seconds()), b.now
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -1255,6 +1255,7 @@
 		}
 		try := func(code Code) {
 			id := fmt.Sprint(now)
+			b.trials = trialMost // others have come meanwhile
 			if got := sentTo(t, b.Handle(now, ask(id, "free"))); got != s.Server {
 				t.Fatalf("%v: the trial at %v went to %s", c.code, now, got)
 			}
@@ -1280,3 +1281,134 @@
 		}
 	}
 }
+
+// Where nodes are many, one whose answers come late has less and less out, whichever servers they came from: all nodes
+// together would jam one server after the other, long before any of them has learned of each. It has more out again as
+// answers come in time; errors and refusals tell nothing of that.
+func TestManyNodesEaseOffWithLateAnswers(t *testing.T) {
+	for name, c := range map[string]struct {
+		code    Code
+		latency time.Duration
+		less    bool
+	}{"time-outs": {TimedOut, 250 * ms, true}, "late answers": {OK, 300 * ms, true}, "slow ones in time": {OK, 200 * ms, false},
+		"errors": {ServerError, ms, false}, "refusals": {Full, ms, false}, "answers in time": {OK, ms, false}} {
+		set := site(300)
+		set.Node, set.Tenants = 7, nil // no buckets
+		b := start(t, set, members(200))
+		now, n := time.Minute, 0
+		answer := func(times int, code Code, latency time.Duration) {
+			for range times {
+				n++
+				now += 100 * ms
+				sent := of(b.Handle(now, ask(fmt.Sprint(n), "once")), Send)
+				for attempt := 0; len(sent) > 0; attempt++ { // what was refused is sent again
+					sent = of(b.Handle(now, outcome(sent[0].ID, attempt, sent[0].Server, code, latency)), Send)
+				}
+			}
+		}
+		// most is how many requests can be out at once.
+		most := func() int {
+			now += time.Minute // nobody works on what was given up
+			for _, s := range b.order {
+				s.health, s.threshold, s.lastSend = health{}, b.start(s), 0
+			}
+			b.countEjected()
+			var out []Action
+			for range 20 {
+				n++
+				out = append(out, of(b.Handle(now, ask(fmt.Sprint(n), "once")), Send)...)
+			}
+			for _, a := range out {
+				b.Handle(now, Lapsed{a.ID})
+				b.Handle(now, outcome(a.ID, 0, a.Server, Cancelled, ms))
+			}
+			now += time.Minute
+			b.Handle(now, Timer{Token: holdToken}) // who was held is refused
+			return len(out)
+		}
+		all := most()
+		if all < 5 {
+			t.Fatalf("%d requests can be out at first", all)
+		}
+		answer(40, c.code, c.latency)
+		if got := most(); c.less && got > all/3 || !c.less && got < all {
+			t.Errorf("after %s, %d requests can be out, %d at first", name, got, all)
+		}
+		answer(400, OK, ms)
+		if got := most(); got <= all/2 {
+			t.Errorf("after %s and answers in time, %d requests can be out, %d at first", name, got, all)
+		}
+	}
+}
+
+// A third of many servers falls silent for a node with little traffic. Its trials take a small part of its requests,
+// for those of all nodes together would keep the servers jammed; once the servers answer, it soon uses all again.
+func TestTrialsOfManySilentServersTakeFewRequests(t *testing.T) {
+	const servers, silent, gap = 60, 20, 50 * ms
+	set := site(300)
+	set.Node = 7
+	b := start(t, set, members(servers))
+	now, n, dead := time.Minute, 0, map[string]bool{}
+	for _, s := range b.order[:silent] {
+		dead[s.Server] = true
+	}
+	// round takes in requests, one after the other, and returns how many went to the silent servers first.
+	round := func(requests int, answers bool) (bad int) {
+		for range requests {
+			n++
+			now += gap
+			id := fmt.Sprint(n)
+			acts := b.Handle(now, Request{ID: id, Class: "free", Tenant: "t", ExpiresIn: time.Second})
+			for attempt := 0; len(of(acts, Send)) > 0; attempt++ {
+				s := of(acts, Send)[0].Server
+				if code := OK; dead[s] && !answers {
+					if attempt == 0 {
+						bad++
+					}
+					code = TimedOut
+					now += 10 * ms
+					acts = b.Handle(now, outcome(id, attempt, s, code, 10*ms))
+					continue
+				}
+				acts = b.Handle(now, outcome(id, attempt, s, OK, 10*ms))
+			}
+		}
+		return bad
+	}
+	for out := 0; out < silent; {
+		round(20, false)
+		if out = b.ejected; n > 10_000 {
+			t.Fatalf("%d of %d silent servers are ejected", out, silent)
+		}
+	}
+	const requests = 1000
+	if bad := round(requests, false); float64(bad) > trialMost+trialShare*requests {
+		t.Errorf("%d of %d requests went to silent servers", bad, requests)
+	}
+	for back := 0; b.ejected > 0; back++ {
+		if round(1, true); back > 8*silent {
+			t.Fatalf("%d servers are still out after %d requests", b.ejected, back)
+		}
+	}
+}
+
+// A repeat of a keyed request says by when it has to have gone out; a first attempt has all its time.
+func TestRepeatsOfKeyedRequestsSayByWhen(t *testing.T) {
+	b := start(t, site(1), members(4))
+	for i, c := range b.ranked {
+		id, now := c.Name, time.Minute+time.Duration(i)*time.Second
+		first := of(b.Handle(now, Request{ID: id, Class: c.Name, Tenant: "t", ExpiresIn: time.Second}), Send)
+		if len(first) != 1 || first[0].By != 0 {
+			t.Fatalf("%s: %+v", id, first)
+		}
+		for _, again := range of(b.Handle(now+50*ms, outcome(id, 0, first[0].Server, Reset, 50*ms)), Send) {
+			want := Time(0)
+			if c.Repeat == Guarded {
+				want = now + c.Window
+			}
+			if again.By != want {
+				t.Errorf("%s: sent again until %v, want %v", id, again.By, want)
+			}
+		}
+	}
+}
