Tell a new process of a standby that was said just before it started

Crossing found by reading the hand-over: what operators say is written for a successor every 250 ms, with the rest of its word (handover.go, step), so that a process started right after POST /standby was answered might read the state before it and take clients, or stay in standby after /active. Now the lifecycle leaves a file before the answer, which goes before the rest. TestStandbyMeetsATakeover forces the order, and fails without the change.

Read and left as they are, each decided in one place: two new processes at once (join: the greater number), a new one that dies during a takeover (held: the lock), a list older than the old process's (loop, bequeathed), a connection accepted as the old one closes its copy of the socket (drain waits for Serve), a word half written (write: rename; read: checksum).

--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -245,3 +245,34 @@
 		}
 	}
 }
+
+// Operators take a node out of service, or back in, just as a new process of it is started, before the old one has
+// written the rest of its word anew. The new one goes by what they were told is done.
+func TestStandbyMeetsATakeover(t *testing.T) {
+	dir := t.TempDir()
+	h, err := join(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer h.leave()
+	life := &lifecycle{noteStandby: h.noteStandby}
+	defer life.end()
+	life.load()
+	for _, on := range []bool{true, false, true} {
+		if err := h.write(legacy{Saved: time.Now(), Standby: !on}); err != nil { // as it was before
+			t.Fatal(err)
+		}
+		if on {
+			life.standBy()
+		} else if err := life.activate(); err != nil {
+			t.Fatal(err)
+		}
+		c := testConfig(t, knownList())
+		c.Handover = dir
+		next, old := succeed(&c)
+		if next == nil || old.Standby != on {
+			t.Errorf("the new process takes the old one to be in standby: %v, want %v", old.Standby, on)
+		}
+		next.leave()
+	}
+}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -29,6 +29,7 @@
 	leastOfEach     = 8                      // connections on each side that a process has in any case
 	lockSuffix      = ".lock"
 	stateSuffix     = ".state"
+	standbySuffix   = ".standby" // is there while its process is in standby
 	handoverPrefix  = "wayhold-"
 )
 
@@ -101,6 +102,7 @@
 		}
 		os.Remove(name)
 		os.Remove(strings.TrimSuffix(name, lockSuffix) + stateSuffix)
+		os.Remove(strings.TrimSuffix(name, lockSuffix) + standbySuffix)
 	}
 	return ids, nil
 }
@@ -129,10 +131,25 @@
 // leave takes away what this process put into the folder.
 func (h *handover) leave() {
 	os.Remove(h.path(h.id, stateSuffix))
+	os.Remove(h.path(h.id, standbySuffix))
 	os.Remove(h.path(h.id, lockSuffix))
 	h.lock.Close()
 }
 
+// noteStandby tells a successor at once what operators said, before they hear that it is done: the rest of its
+// word is written now and then, and a new process may be started in between.
+func (h *handover) noteStandby(on bool) {
+	name, err := h.path(h.id, standbySuffix), error(nil)
+	if on {
+		err = os.WriteFile(name, nil, 0o600)
+	} else if err = os.Remove(name); errors.Is(err, os.ErrNotExist) {
+		err = nil
+	}
+	if err != nil {
+		slog.Warn("handover: a successor won't hear of standby", "on", on, "err", err)
+	}
+}
+
 // write leaves word for a successor, whole or not at all.
 func (h *handover) write(l legacy) error {
 	raw, err := encodeLegacy(l)
@@ -157,7 +174,12 @@
 	if err != nil {
 		return legacy{}, err
 	}
-	return decodeLegacy(raw, now)
+	l, err := decodeLegacy(raw, now)
+	if err == nil {
+		_, none := os.Stat(h.path(id, standbySuffix))
+		l.Standby = none == nil
+	}
+	return l, err
 }
 
 // encodeLegacy writes one line with the version and a checksum, and the rest as JSON.
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -93,7 +93,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	for name, text := range map[string][]byte{"wayhold-5.lock": nil, "wayhold-5.state": raw,
+	for name, text := range map[string][]byte{"wayhold-5.lock": nil, "wayhold-5.state": raw, "wayhold-5.standby": nil,
 		"wayhold-99999999999999999999.lock": nil, "wayhold-x.lock": []byte("x"), "wayhold--3.lock": nil, "other": nil} {
 		if err := os.WriteFile(filepath.Join(dir, name), text, 0o600); err != nil {
 			t.Fatal(err)
@@ -106,8 +106,10 @@
 	if first.before != 0 {
 		t.Errorf("a dead process %d counts as living", first.before)
 	}
-	if _, err := os.Stat(filepath.Join(dir, "wayhold-5.state")); !os.IsNotExist(err) {
-		t.Errorf("what it left is still there: %v", err)
+	for _, name := range []string{"wayhold-5.state", "wayhold-5.standby"} {
+		if _, err := os.Stat(filepath.Join(dir, name)); !os.IsNotExist(err) {
+			t.Errorf("what it left is still there: %v", err)
+		}
 	}
 	second, err := join(dir)
 	if err != nil {
@@ -122,6 +124,7 @@
 	if err := first.write(testLegacy(t, now)); err != nil {
 		t.Fatal(err)
 	}
+	first.noteStandby(true)
 	if l, err := second.read(first.id, now); err != nil || l.Revision != 12 || !l.Standby {
 		t.Errorf("read %v, %v", l, err)
 	}
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -43,6 +43,8 @@
 	hangUp atomic.Bool  // answers end their connections
 	// closeQuiet closes client connections that are without a request.
 	closeQuiet func(time.Time)
+	// noteStandby is told when standby begins and ends; nil: nobody need know.
+	noteStandby func(on bool)
 
 	mu     sync.Mutex
 	loaded bool // the servers are known
@@ -79,10 +81,17 @@
 	defer l.mu.Unlock()
 	if l.phase() < standby {
 		l.enter(standby)
+		l.note(true)
 		l.sendAway(noticeFor)
 	}
 }
 
+func (l *lifecycle) note(on bool) {
+	if l.noteStandby != nil {
+		l.noteStandby(on)
+	}
+}
+
 // activate takes clients again.
 func (l *lifecycle) activate() error {
 	l.mu.Lock()
@@ -95,6 +104,7 @@
 	}
 	l.turn++
 	l.hangUp.Store(false)
+	l.note(false)
 	if l.loaded {
 		l.enter(active)
 	} else {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -65,6 +65,9 @@
 	clients.spare, up.lent, up.yield = up.spare, clients.borrowed, clients.yield
 	l.clients = clients
 	s.life.closeQuiet = clients.closeQuiet
+	if h != nil {
+		s.life.noteStandby = h.noteStandby
+	}
 	defer s.life.end()
 	if doors.Operators != nil { // before all else, so that operators can ask how the start goes
 		defer openDoor(doors.Operators, c.Name, &s.life).close()
