--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -485,3 +485,25 @@
 	m.Availability = phase
 	return m
 }
+
+// A reset is no end of an answer, whatever of it has come: that of one without a length, in the middle of its head, or
+// behind bytes that would do as a whole one. The attempt may have run, and its connection is not used again.
+func TestResetIsNoEndOfAnAnswer(t *testing.T) {
+	for _, part := range []string{"", "HTT", "HTTP/1.1 2", "HTTP/1.1 200 OK\r\nContent-Le", "HTTP/1.1 200 OK\r\n\r\n",
+		"HTTP/1.1 200 OK\r\n\r\nok", "HTTP/1.1 200 OK\r\nConnection: close\r\n\r\n" + strings.Repeat("ok", wholeBody),
+		"HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n2\r\nok\r\n"} {
+		addr := rawServer(t, func(c net.Conn, r *bufio.Reader) {
+			if swallow(r) {
+				_, _ = io.WriteString(c, part)
+				_ = c.(*net.TCPConn).SetLinger(0)
+			}
+		})
+		u := testUpstream(t, addr)
+		ending := make(chan result, 1)
+		go func() { ending <- ended(t, u, testExchange(http.MethodGet, "r1", "")) }()
+		if r := receive(t, "the outcome", ending); r.code != policy.Reset && r.code != policy.ServerError {
+			t.Errorf("%.40q: code %v, want one that fails and may have run", part, r.code)
+		}
+		await(t, "the end of the connection", func() bool { open, _ := u.counts("s0"); return open == 0 })
+	}
+}
