--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -438,6 +438,9 @@
 }
 
 func pause(ctx context.Context, d time.Duration) {
+	if d <= 0 {
+		return
+	}
 	t := time.NewTimer(d)
 	defer t.Stop()
 	select {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -25,8 +25,9 @@
 	stallLimit      = 10 * time.Second       // without a byte, for a body on its way
 	earlyAnswer     = 250 * time.Millisecond // to take in what a server says before it has the whole request
 	// restFor is how long a connection rests after an answer. Answers carry no id: what comes right
-	// behind one would be taken for the next one's, were the connection used again at once.
-	restFor = 3 * time.Millisecond
+	// behind one would be taken for the next one's, were the connection used again at once. Second answers come
+	// some milliseconds late.
+	restFor = 10 * time.Millisecond
 )
 
 var (
@@ -268,7 +269,7 @@
 	for i := len(p.idle) - 1; i >= 0; i-- {
 		c := p.idle[i]
 		idle := now.Sub(c.used)
-		if idle < restFor {
+		if !rested(idle) {
 			continue
 		}
 		last := len(p.idle) - 1
@@ -287,6 +288,9 @@
 	return p, nil, p.leaving, nil
 }
 
+// rested tells whether a connection that served so long ago may be used again.
+func rested(ago time.Duration) bool { return ago >= restFor }
+
 // makeRoom finds a descriptor for one more connection: a free one, one lent to clients, or an idle one's.
 func (u *upstream) makeRoom() bool {
 	if u.open >= u.most {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -507,3 +507,14 @@
 		await(t, "the end of the connection", func() bool { open, _ := u.counts("s0"); return open == 0 })
 	}
 }
+
+// A second answer may come some milliseconds after the first: a connection that served a moment ago is not used again,
+// for the answer would be taken for the next one's.
+func TestConnectionsRestForSecondAnswers(t *testing.T) {
+	for ago, want := range map[time.Duration]bool{0: false, 5 * time.Millisecond: false, 9 * time.Millisecond: false,
+		20 * time.Millisecond: true} {
+		if rested(ago) != want {
+			t.Errorf("%v after its answer, a connection may be used again: %v", ago, !want)
+		}
+	}
+}
