Use connections first that rested for 10 ms, but open none where others rested for 3

Now a connection that rested for 10 ms goes first, then the last used that rested for 3, and only then a new one is made (pool.rested). A second answer then meets a request only where all the others are busy.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -26,8 +26,9 @@
 	earlyAnswer     = 250 * time.Millisecond // to take in what a server says before it has the whole request
 	// restFor is how long a connection rests after an answer. Answers carry no id: what comes right
 	// behind one would be taken for the next one's, were the connection used again at once. Second answers come
-	// some milliseconds late.
-	restFor = 10 * time.Millisecond
+	// some milliseconds late, so that one that rested for restLong goes first; but a new one costs more than it helps.
+	restFor  = 3 * time.Millisecond
+	restLong = 10 * time.Millisecond
 )
 
 var (
@@ -266,16 +267,12 @@
 		return nil, nil, nil, errLeaving
 	}
 	now := time.Now()
-	for i := len(p.idle) - 1; i >= 0; i-- {
+	for i := p.rested(now); i >= 0; i = p.rested(now) {
 		c := p.idle[i]
-		idle := now.Sub(c.used)
-		if !rested(idle) {
-			continue
-		}
 		last := len(p.idle) - 1
 		copy(p.idle[i:], p.idle[i+1:])
 		p.idle[last], p.idle = nil, p.idle[:last]
-		if idle < u.idleFor && quiet(c.TCPConn) {
+		if now.Sub(c.used) < u.idleFor && quiet(c.TCPConn) {
 			return p, c, p.leaving, nil
 		}
 		c.Close()
@@ -288,8 +285,18 @@
 	return p, nil, p.leaving, nil
 }
 
-// rested tells whether a connection that served so long ago may be used again.
-func rested(ago time.Duration) bool { return ago >= restFor }
+// rested returns which idle connection goes first: the last used of those that rested for long, else of those that
+// rested at all; below 0: none has.
+func (p *pool) rested(now time.Time) int {
+	for _, rest := range []time.Duration{restLong, restFor} {
+		for i := len(p.idle) - 1; i >= 0; i-- {
+			if now.Sub(p.idle[i].used) >= rest {
+				return i
+			}
+		}
+	}
+	return -1
+}
 
 // makeRoom finds a descriptor for one more connection: a free one, one lent to clients, or an idle one's.
 func (u *upstream) makeRoom() bool {
