Count what a queued call missed from its start, and be ready before the first client

- discovery.go, miss: after a first call that failed, news counted from the failure.
That holds for a watch that stood; a call that waited in discovery's queue for 2 s and got 503 had brought nothing, so that the next two could follow up to 2 s too late.
A 503 counts from the call's start now, a reset from 2 s before it at most.

--- a/cmd/wayhold/process_test.go
+++ b/cmd/wayhold/process_test.go
@@ -184,3 +184,35 @@
 		})
 	}
 }
+
+// A node that knows servers from before is ready at once, and serves, whatever discovery does.
+func TestReadyWhateverDiscoveryDoes(t *testing.T) {
+	server := httptest.NewServer(http.HandlerFunc(func(http.ResponseWriter, *http.Request) {}))
+	defer server.Close()
+	for name, does := range map[string]http.HandlerFunc{
+		"resets":    func(http.ResponseWriter, *http.Request) { panic(http.ErrAbortHandler) },
+		"is full":   func(w http.ResponseWriter, _ *http.Request) { w.WriteHeader(http.StatusServiceUnavailable) },
+		"is silent": func(_ http.ResponseWriter, r *http.Request) { <-r.Context().Done() },
+		"babbles":   func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, `{"revision":`) },
+	} {
+		t.Run(name, func(t *testing.T) {
+			discovery := httptest.NewServer(does)
+			defer discovery.Close()
+			defer discovery.CloseClientConnections()
+			p := startProcess(t, fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
+				"limits":{"cores":1,"memory_mb":64,"sockets":128},"known":{"revision":1,"complete":true,"members":[
+					{"id":"s0","host_port":%q,"locality":"a","phase":"up","up_since_ms":0}]},
+				"settings":{"position":3,"groupSize":350,"zone":"a","registryMode":"subscribe",
+					"services":[{"name":"x","aim":20000,"deadline":30000,"repeat":"free"}],
+					"limits":{"connectTimeout":5000},"guarantees":{"drainGrace":500,"mustAskIn":10000}}}`,
+				discovery.Listener.Addr(), server.Listener.Addr()), 128)
+			if got := status("http://" + p.addr + "/health/ready"); got != 200 {
+				t.Errorf("the front gets %d as soon as the node listens", got)
+			}
+			got := status("http://"+p.addr+"/api", "X-Request-Id", "r1", "X-Class", "x", "X-Deadline-Ms", "30000")
+			if got != 200 {
+				t.Errorf("a request gets %d", got)
+			}
+		})
+	}
+}
--- a/internal/node/discovery.go
+++ b/internal/node/discovery.go
@@ -271,6 +271,7 @@
 	began       atomic.Bool   // its answer has
 	silent      bool          // it was given up
 	broke       bool          // it ended by itself
+	refused     bool          // discovery answered that it can't answer
 }
 
 // plan says how long the next call may take. The waits of many nodes differ, since a change answers all
@@ -299,13 +300,17 @@
 func (d *discovery) miss(c *listCall, err error) {
 	now := time.Now()
 	if d.failed++; d.failed == 1 {
-		d.since, d.last = now, now
+		d.since = now
+		// A watch that stood brought all that came before its end; a call that waited in the queue brought nothing.
+		if d.last = c.asked; !c.refused {
+			d.last = now.Add(-min(now.Sub(c.asked), callLimit))
+		}
 	}
 	if d.silent++; !c.silent {
 		d.silent = 0
 	}
 	d.unsure = true
-	// What a watch was not told while it stood came after it. Later, discovery may have been back since the last failure.
+	// Later, discovery may have been back since the last failure.
 	told := d.last.Add(d.within)
 	switch {
 	case c.began.Load(): // some of it was written, and what was counts
@@ -398,6 +403,7 @@
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		c.began.Store(false) // and tells no news
+		c.refused = true
 		return list{}, fmt.Errorf("answered %s", resp.Status)
 	}
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxListSize+1))
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -167,6 +167,9 @@
 		return r.write(c, 200, delta(8, entry("s0", "draining")))
 	case "503":
 		return r.write(c, 503, "")
+	case "queued":
+		time.Sleep(2 * time.Second)
+		return r.write(c, 503, "")
 	case "late":
 		time.Sleep(wait + 450*time.Millisecond)
 	}
@@ -398,12 +401,15 @@
 // hides, wholly or in part, is known before the grace is over.
 func TestDrainsAreHeardPastBrokenCalls(t *testing.T) {
 	for _, how := range []string{"silent", "silent in its head", "silent in its body", "trickling", "reset", "no HTTP",
-		"malformed", "bad entry", "503", "late"} {
+		"malformed", "bad entry", "503", "queued", "late"} {
 		for _, nodes := range []int{2, 350} {
 			for _, first := range []int{1, 4} {
 				for _, times := range []int{1, 2} {
 					t.Run(fmt.Sprintf("%s, call %d, %d times, %d nodes", how, first, times, nodes), func(t *testing.T) {
 						modes(t, func(t *testing.T, subscribe bool) {
+							if how == "queued" && !subscribe {
+								return // what a pushed list's agent has counts at once: none may wait in a queue
+							}
 							for seed := range uint64(10) {
 								r, begun := newRegistry(t), make(chan struct{})
 								r.spoil = func(n int) string {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -102,12 +102,17 @@
 		shares.step(time.Now())
 		parts.Go(func() { shares.run(running) })
 	}
-	parts.Go(func() {
-		if !l.awaitServers(running) {
-			slog.Warn("ready without knowing a server")
-		}
+	select {
+	case <-l.serves: // before the first client is taken in
 		s.life.load()
-	})
+	default:
+		parts.Go(func() {
+			if !l.awaitServers(running) {
+				slog.Warn("ready without knowing a server")
+			}
+			s.life.load()
+		})
+	}
 	failed := make(chan error, 1)
 	parts.Go(func() { failed <- s.http.Serve(clients) })
 	select {
