--- a/policy/policy.go
+++ b/policy/policy.go
@@ -474,7 +474,7 @@
 	} else if b.shared(s) && bad && code != Full {
 		b.trust = max(1, b.trust*(1-trustCut))
 	}
-	if code == TimedOut || code == OK && latency > c.Aim { // whatever else is wrong, servers have more than they can do in time
+	if code == TimedOut || code == OK && latency > c.Aim { // servers have more than they can do in time
 		b.ease = max(easeLeast, b.ease*(1-trustCut))
 	} else if code == OK {
 		b.ease = min(1, b.ease*(1+trustGrow))
@@ -875,8 +875,8 @@
 	ejectMost     = 8 * time.Second // up to this
 	maxEjected    = 0.4             // part of the fleet; when more seems broken, the cause isn't the servers
 	trialsNeeded  = 3               // good trials in a row: half of them pass at a server that fails half
-	trialShare    = 0.05            // of a node's requests may go to bad trials: all nodes' together would keep many
-	trialMost     = trialsNeeded    // servers jammed, and take the time of most requests. So many are saved up
+	trialShare    = 0.05            // of a node's requests may go to bad trials: all nodes' together would keep
+	trialMost     = trialsNeeded    // many servers jammed, and cost most requests their time
 )
 
 // judge moves the breaker of an attempt's server by its outcome.
@@ -1059,7 +1059,7 @@
 func (b *Balancer) onList(e MemberList) {
 	switch {
 	case e.Kind == ListUnavailable:
-		mean := b.askWithin() / askPart // each time: discovery may be back any moment, and news counts from then
+		mean := b.askWithin() / askPart // each time: discovery may be back any moment, and it counts from then
 		b.askLater(mean/2, mean)
 		return
 	case e.Kind == ListRestored && b.set.Subscribe:
