--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -1,11 +1,13 @@
 package node
 
 import (
+	"bufio"
 	"context"
 	"fmt"
 	"io"
 	"net"
 	"net/http"
+	"strings"
 	"sync"
 	"syscall"
 	"testing"
@@ -276,3 +278,83 @@
 		next.leave()
 	}
 }
+
+// SIGTERM meets requests at each stage: half written by its client, out at a server, half answered by it. Each is
+// answered whole, and its connection ends with that.
+func TestStopMeetsRequestsAtEachStage(t *testing.T) {
+	got, proceed := make(chan string, 10), make(chan struct{})
+	addr := rawServer(t, func(c net.Conn, in *bufio.Reader) {
+		req, err := http.ReadRequest(in)
+		if err != nil {
+			return
+		}
+		_, _ = io.Copy(io.Discard, req.Body)
+		head, rest := "", "HTTP/1.1 200 OK\r\nContent-Length: 4\r\n\r\nyes!"
+		if req.Header.Get("X-Request-Id") == "half-answered" {
+			head, rest = rest[:len(rest)-2], rest[len(rest)-2:]
+		}
+		_, _ = io.WriteString(c, head)
+		got <- req.Header.Get("X-Request-Id")
+		<-proceed
+		_, _ = io.WriteString(c, rest)
+	})
+	node, stop := startNode(t, testConfig(t, knownList(addr)))
+	send := func(id string) (c net.Conn, rest string) {
+		c, err := net.Dial("tcp", node)
+		if err != nil {
+			t.Fatal(err)
+		}
+		t.Cleanup(func() { c.Close() })
+		text := "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + strings.ReplaceAll(id, " ", "-") +
+			"\r\nX-Class: pay\r\nX-Deadline-Ms: 8000\r\nContent-Length: 3\r\n\r\nsum"
+		if id == "half written" {
+			text, rest = text[:len(text)-2], text[len(text)-2:]
+		}
+		if _, err := io.WriteString(c, text); err != nil {
+			t.Fatal(err)
+		}
+		return c, rest
+	}
+	conns := map[string]net.Conn{}
+	rest := ""
+	for _, id := range []string{"out", "half answered", "half written"} {
+		c, more := send(id)
+		if conns[id] = c; more != "" {
+			rest = more
+			continue
+		}
+		receive(t, "the request", got)
+	}
+	ended := make(chan error, 1)
+	go func() { ended <- stop() }()
+	await(t, "the node to say that it isn't ready", func() bool {
+		resp, err := http.Get("http://" + node + readyPath)
+		if err != nil {
+			return true
+		}
+		resp.Body.Close()
+		return resp.StatusCode != http.StatusOK
+	})
+	if _, err := io.WriteString(conns["half written"], rest); err != nil {
+		t.Fatal(err)
+	}
+	receive(t, "the request that was half written", got)
+	close(proceed)
+	for id, c := range conns {
+		in := bufio.NewReader(c)
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil {
+			t.Fatalf("%s: %v", id, err)
+		}
+		body, err := io.ReadAll(resp.Body)
+		if resp.StatusCode != http.StatusOK || string(body) != "yes!" || err != nil {
+			t.Errorf("%s: %d %q, %v", id, resp.StatusCode, body, err)
+		}
+		if _, err := in.ReadByte(); err != io.EOF {
+			t.Errorf("%s: behind the answer %v, want the end", id, err)
+		}
+	}
+	if err := receive(t, "the node's end", ended); err != nil {
+		t.Error(err)
+	}
+}
