--- a/internal/node/discovery.go
+++ b/internal/discovery/discovery.go
@@ -1,4 +1,6 @@
-package node
+// Package discovery follows the list of servers: it watches, asks again after failures, and keeps to the time
+// from which news counts as told (PROTOCOL and STANDING of the operators' pages).
+package discovery
 
 import (
 	"context"
@@ -16,6 +18,7 @@
 	"sync/atomic"
 	"time"
 
+	"cobaltward/internal/field"
 	"cobaltward/policy"
 )
 
@@ -47,15 +50,15 @@
 	maxListSize = 8 << 20 // bytes of one answer; a longer one isn't a list
 )
 
-// list is the whole list of servers, or what changed in it.
-type list struct {
+// List is the whole list of servers, or what changed in it.
+type List struct {
 	Revision int64
 	Complete bool
-	Members  []member
+	Members  []Member
 }
 
-// member is one entry; UpSince is in Unix milliseconds, and 0 means long ago.
-type member struct {
+// Member is one entry; UpSince is in Unix milliseconds, and 0 means long ago.
+type Member struct {
 	policy.Member
 	Addr    string
 	UpSince int64
@@ -65,9 +68,9 @@
 	"up": policy.Running, "draining": policy.Draining, "removed": policy.Removed,
 }
 
-// parseList reads discovery's form. A list with one bad entry is bad as a whole: what it would
+// ParseList reads discovery's form. A list with one bad entry is bad as a whole: what it would
 // otherwise leave out might be a drain.
-func parseList(raw []byte) (list, error) {
+func ParseList(raw []byte) (List, error) {
 	var f struct {
 		Revision *int64 `json:"revision"`
 		Complete bool   `json:"complete"`
@@ -82,29 +85,29 @@
 			UpSince  float64  `json:"up_since_ms"`
 		} `json:"members"`
 	}
-	if err := unmarshal(raw, &f); err != nil {
-		return list{}, err
+	if err := field.Unmarshal(raw, &f); err != nil {
+		return List{}, err
 	}
 	if f.Revision == nil {
-		return list{}, errors.New("revision: missing")
+		return List{}, errors.New("revision: missing")
 	}
-	l := list{Revision: *f.Revision, Complete: f.Complete}
+	l := List{Revision: *f.Revision, Complete: f.Complete}
 	for i, e := range f.Members {
 		phase, ok := phases[e.Phase]
 		switch {
 		case e.ID == "":
-			return list{}, fmt.Errorf("members[%d].id: missing", i)
+			return List{}, fmt.Errorf("members[%d].id: missing", i)
 		case !ok:
-			return list{}, fmt.Errorf("members[%d].phase: unknown word %q", i, e.Phase)
+			return List{}, fmt.Errorf("members[%d].phase: unknown word %q", i, e.Phase)
 		case !(e.UpSince >= 0 && e.UpSince < 1<<53):
-			return list{}, fmt.Errorf("members[%d].up_since_ms: out of range", i)
+			return List{}, fmt.Errorf("members[%d].up_since_ms: out of range", i)
 		}
 		if phase != policy.Removed {
-			if err := checkAddress(e.HostPort); err != nil {
-				return list{}, fmt.Errorf("members[%d].host_port: %w", i, err)
+			if err := field.CheckAddress(e.HostPort); err != nil {
+				return List{}, fmt.Errorf("members[%d].host_port: %w", i, err)
 			}
 		}
-		m := member{Addr: e.HostPort, UpSince: int64(e.UpSince), Member: policy.Member{Server: e.ID,
+		m := Member{Addr: e.HostPort, UpSince: int64(e.UpSince), Member: policy.Member{Server: e.ID,
 			Zone: e.Locality, Kind: e.Flavor, Cell: e.Cell, Weight: 1, Availability: phase}}
 		if e.Size != nil {
 			m.Weight = *e.Size
@@ -114,22 +117,36 @@
 	return l, nil
 }
 
-// news is what discovery has to tell the loop.
-type news struct {
-	kind         policy.ListKind
-	members      []member
-	revision     int64
-	asked, heard time.Time // the call and its last byte, for the log; zero for a list that no call brought
+// News is what discovery has to tell.
+type News struct {
+	Kind         policy.ListKind
+	Members      []Member
+	Revision     int64
+	Asked, Heard time.Time // the call and its last byte, for the log; zero for a list that no call brought
 }
 
-// discovery watches the list of servers from a connection of its own.
-type discovery struct {
+// Config is what a Client goes by.
+type Config struct {
+	Addr      string
+	Subscribe bool  // watch only when asked to, and tell of failures
+	Revision  int64 // of the list that the node has
+	// Node is the node's number, and Nodes how many there are: their calls are spread.
+	Node, Nodes int
+	Seed        uint64
+	DrainGrace  time.Duration // of the rule on drains, from when news counts as told
+	AskWithin   time.Duration // in which a node without a watch has to ask; 0: the pages' figure alone
+	// Dial opens connections; nil: over TCP.
+	Dial func(ctx context.Context, network, addr string) (net.Conn, error)
+}
+
+// Client watches the list of servers from a connection of its own. Make one with New.
+type Client struct {
 	client    *http.Client
-	subscribe bool      // watch only when the module has asked, and tell it of failures
+	subscribe bool
 	asks      chan bool // the module's newest wish to be kept told
-	tell      func(any)
+	tell      func(News)
 
-	// Only run touches these.
+	// Only Run touches these.
 	addr     string
 	revision int64
 	whole    bool      // the next call asks for the whole list
@@ -147,32 +164,36 @@
 	rng    *rand.Rand
 
 	mu        sync.Mutex
-	moved     string             // the address to go on at, until run has taken it up
+	moved     string             // the address to go on at, until Run has taken it up
 	interrupt context.CancelFunc // ends the call in flight, or the pause between two
 }
 
-func newDiscovery(c Config, tell func(any)) *discovery {
-	d := &discovery{
-		addr: c.Discovery, subscribe: c.Settings.Subscribe,
-		revision: c.Known.Revision, unsure: true, asks: make(chan bool, 1), tell: tell, interrupt: func() {},
-		grace: c.Settings.Rules.DrainGrace, nodes: c.Settings.Nodes, within: newsLatest,
-		rng: rand.New(rand.NewPCG(c.Seed, uint64(c.Settings.Node))),
+// New returns a Client, which does nothing before Run. It hands its news to tell, one after the other.
+func New(c Config, tell func(News)) *Client {
+	dial := c.Dial
+	if dial == nil {
+		dial = (&net.Dialer{Timeout: callLimit}).DialContext
+	}
+	d := &Client{
+		addr: c.Addr, subscribe: c.Subscribe,
+		revision: c.Revision, unsure: true, asks: make(chan bool, 1), tell: tell, interrupt: func() {},
+		grace: c.DrainGrace, nodes: c.Nodes, within: newsLatest,
+		rng: rand.New(rand.NewPCG(c.Seed, uint64(c.Node))),
 		client: &http.Client{
 			// A Transport of its own, so neither a proxy nor the requests share its connection.
-			Transport: &http.Transport{DisableCompression: true, MaxConnsPerHost: 1,
-				DialContext: (&net.Dialer{Timeout: callLimit}).DialContext},
+			Transport:     &http.Transport{DisableCompression: true, MaxConnsPerHost: 1, DialContext: dial},
 			CheckRedirect: func(*http.Request, []*http.Request) error { return http.ErrUseLastResponse },
 		},
 	}
-	if asks := c.Settings.Rules.AskWithin; d.subscribe && asks > 0 {
-		d.within = min(d.within, asks)
+	if c.Subscribe && c.AskWithin > 0 {
+		d.within = min(d.within, c.AskWithin)
 	}
 	return d
 }
 
-// ask passes the module's wish on; a newer one takes the place of one not yet heard. Only the loop
+// Ask passes the module's wish to be kept told on; a newer one takes the place of one not yet heard. One goroutine
 // calls it, and it never blocks.
-func (d *discovery) ask(on bool) {
+func (d *Client) Ask(on bool) {
 	select {
 	case <-d.asks:
 	default:
@@ -180,8 +201,8 @@
 	d.asks <- on
 }
 
-// move goes on at another address at once: what the old one still has to say may never come.
-func (d *discovery) move(addr string) {
+// Move goes on at another address at once: what the old one still has to say may never come.
+func (d *Client) Move(addr string) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	d.moved = addr
@@ -189,7 +210,7 @@
 }
 
 // settle takes up a move, if there was one, and returns what the next call or pause runs under.
-func (d *discovery) settle(ctx context.Context) (context.Context, context.CancelFunc, bool) {
+func (d *Client) settle(ctx context.Context) (context.Context, context.CancelFunc, bool) {
 	d.mu.Lock()
 	defer d.mu.Unlock()
 	moved := d.moved != ""
@@ -203,8 +224,8 @@
 	return ctx, d.interrupt, moved
 }
 
-// run watches until ctx ends.
-func (d *discovery) run(ctx context.Context) {
+// Run watches until ctx ends.
+func (d *Client) Run(ctx context.Context) {
 	defer d.client.CloseIdleConnections()
 	watching, backoff := !d.subscribe, time.Duration(0)
 	for ctx.Err() == nil {
@@ -234,7 +255,7 @@
 }
 
 // turn makes one call, and pauses after one that failed.
-func (d *discovery) turn(ctx context.Context, backoff time.Duration) (bool, time.Duration) {
+func (d *Client) turn(ctx context.Context, backoff time.Duration) (bool, time.Duration) {
 	c := d.plan()
 	d.open = c.asked.Add(newsLatest)
 	l, err := d.watch(ctx, c)
@@ -258,7 +279,7 @@
 		return true, 0
 	}
 	d.due = time.Time{}
-	d.tell(news{kind: policy.ListUnavailable}) // the module says when to try again
+	d.tell(News{Kind: policy.ListUnavailable}) // the module says when to try again
 	return false, 0
 }
 
@@ -276,7 +297,7 @@
 
 // plan says how long the next call may take. The waits of many nodes differ, since a change answers all
 // their watches together: those that fall silent then are not all given up, and called anew, together.
-func (d *discovery) plan() *listCall {
+func (d *Client) plan() *listCall {
 	c := &listCall{asked: time.Now(), body: min(bodyMost, bodyLimit<<min(d.failed, 10))}
 	c.limit = min(queueMost, queueLimit+time.Duration(d.silent)*queueMore)
 	if (d.silent == 1 || d.silent == 2) && d.urgent() {
@@ -297,7 +318,7 @@
 }
 
 // miss notes a call that failed, and by when the news that it may have missed has to be heard.
-func (d *discovery) miss(c *listCall, err error) {
+func (d *Client) miss(c *listCall, err error) {
 	now := time.Now()
 	if d.failed++; d.failed == 1 {
 		d.since = now
@@ -337,17 +358,17 @@
 }
 
 // urgent tells whether news that counts as told, or soon does, can still be heard in time.
-func (d *discovery) urgent() bool { return time.Now().Before(d.due.Add(d.grace)) }
+func (d *Client) urgent() bool { return time.Now().Before(d.due.Add(d.grace)) }
 
 // breath is a pause between two urgent calls: longer each time while there is time left, and never in step with
 // other nodes.
-func (d *discovery) breath() time.Duration {
+func (d *Client) breath() time.Duration {
 	span := min(time.Until(d.due.Add(d.grace))/urgentPart, time.Duration(d.nodes)*callsApart<<min(d.failed-1, 10))
 	return max(backoffMin, time.Duration(d.rng.Float64()*float64(span)))
 }
 
 // heed takes the module's newest wish; it waits for one only while there is nothing to watch.
-func (d *discovery) heed(ctx context.Context, watching bool) bool {
+func (d *Client) heed(ctx context.Context, watching bool) bool {
 	if watching {
 		select {
 		case on := <-d.asks:
@@ -368,7 +389,7 @@
 
 // watch makes one call, which waits for something newer than the revision held, or asks for the whole
 // list.
-func (d *discovery) watch(ctx context.Context, c *listCall) (_ list, err error) {
+func (d *Client) watch(ctx context.Context, c *listCall) (_ List, err error) {
 	query := url.Values{}
 	if !d.whole {
 		query.Set("index", strconv.FormatInt(d.revision, 10))
@@ -394,44 +415,44 @@
 	to := url.URL{Scheme: "http", Host: d.addr, Path: "/registry/instances", RawQuery: query.Encode()}
 	req, err := http.NewRequestWithContext(ctx, http.MethodGet, to.String(), nil)
 	if err != nil {
-		return list{}, err
+		return List{}, err
 	}
 	resp, err := d.client.Do(req)
 	if err != nil {
-		return list{}, err
+		return List{}, err
 	}
 	defer resp.Body.Close()
 	if resp.StatusCode != http.StatusOK {
 		c.began.Store(false) // and tells no news
 		c.refused = true
-		return list{}, fmt.Errorf("answered %s", resp.Status)
+		return List{}, fmt.Errorf("answered %s", resp.Status)
 	}
 	raw, err := io.ReadAll(io.LimitReader(resp.Body, maxListSize+1))
 	if err != nil {
-		return list{}, err
+		return List{}, err
 	}
 	if len(raw) > maxListSize {
-		return list{}, fmt.Errorf("the list is over %d bytes", maxListSize)
+		return List{}, fmt.Errorf("the list is over %d bytes", maxListSize)
 	}
-	l, err := parseList(raw)
+	l, err := ParseList(raw)
 	if err != nil {
-		return list{}, fmt.Errorf("malformed list skipped: %w", err)
+		return List{}, fmt.Errorf("malformed list skipped: %w", err)
 	}
 	if d.whole && !l.Complete {
-		return list{}, errors.New("asked for the whole list, got a part")
+		return List{}, errors.New("asked for the whole list, got a part")
 	}
 	return l, nil
 }
 
 // learn passes on what a watch brought. An empty delta is told only where the module awaits an answer.
-func (d *discovery) learn(l list, asked time.Time) {
+func (d *Client) learn(l List, asked time.Time) {
 	if d.failed > 0 {
 		slog.Info("discovery: heard again", "after", time.Since(d.since), "failed", d.failed, "revision", l.Revision)
 	}
 	d.revision, d.whole, d.unsure, d.failed, d.silent, d.due = l.Revision, false, false, 0, 0, time.Time{}
-	n := news{kind: policy.ListUpdate, members: l.Members, revision: l.Revision, asked: asked, heard: time.Now()}
+	n := News{Kind: policy.ListUpdate, Members: l.Members, Revision: l.Revision, Asked: asked, Heard: time.Now()}
 	if l.Complete {
-		n.kind = policy.ListReplace
+		n.Kind = policy.ListReplace
 	}
 	if l.Complete || len(l.Members) > 0 || d.subscribe {
 		d.tell(n)
--- a/internal/node/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -1,10 +1,11 @@
-package node
+package discovery
 
 import (
 	"context"
 	"fmt"
 	"io"
 	"net/http"
+	"net/http/httptest"
 	"strings"
 	"testing"
 	"time"
@@ -20,11 +21,29 @@
 	return fmt.Sprintf(`{"revision":%d,"complete":false,"members":[%s]}`, revision, strings.Join(entries, ","))
 }
 
+func httpServer(t *testing.T, h http.HandlerFunc) string {
+	s := httptest.NewServer(h)
+	t.Cleanup(s.Close)
+	return s.Listener.Addr().String()
+}
+
+// receive waits for longer than any step of a test takes, and only where it fails.
+func receive[T any](t *testing.T, what string, from <-chan T) T {
+	t.Helper()
+	select {
+	case v := <-from:
+		return v
+	case <-time.After(30 * time.Second):
+		t.Fatalf("waited in vain for %s", what)
+		panic("unreachable")
+	}
+}
+
 // watched plays answers to the calls in turn, then holds the rest, and returns what discovery told
 // and the queries that it made. An answer that is no JSON object is sent with status 503.
-func watched(t *testing.T, subscribe bool, answers ...string) (d *discovery, told chan news, queries chan string) {
+func watched(t *testing.T, subscribe bool, answers ...string) (d *Client, told chan News, queries chan string) {
 	t.Helper()
-	queries, told = make(chan string, 100), make(chan news, 100)
+	queries, told = make(chan string, 100), make(chan News, 100)
 	calls := make(chan string, len(answers))
 	for _, a := range answers {
 		calls <- a
@@ -41,12 +60,10 @@
 			<-r.Context().Done()
 		}
 	})
-	c := testConfig(t, knownList("127.0.0.1:9"))
-	c.Discovery, c.Settings.Subscribe = addr, subscribe
-	d = newDiscovery(c, func(ev any) { told <- ev.(news) })
+	d = New(Config{Addr: addr, Subscribe: subscribe, Revision: 7, Nodes: 1, Seed: 1}, func(n News) { told <- n })
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { d.run(ctx); close(ended) }()
+	go func() { d.Run(ctx); close(ended) }()
 	t.Cleanup(func() { cancel(); receive(t, "the end of discovery", ended) })
 	return d, told, queries
 }
@@ -70,8 +87,8 @@
 	}{{policy.ListUpdate, "s1", policy.Running}, {policy.ListUpdate, "s1", policy.Draining},
 		{policy.ListReplace, "s2", policy.Running}} {
 		n := receive(t, "news", told)
-		if n.kind != want.kind || len(n.members) != 1 || n.members[0].Server != want.server ||
-			n.members[0].Availability != want.phase {
+		if n.Kind != want.kind || len(n.Members) != 1 || n.Members[0].Server != want.server ||
+			n.Members[0].Availability != want.phase {
 			t.Errorf("news %d: %+v", i, n)
 		}
 	}
@@ -82,7 +99,7 @@
 func TestFailuresKeepTheLastList(t *testing.T) {
 	_, told, queries := watched(t, false, "down", `{"revision":`, delta(9, entry("s1", "odd")), `{"members":[]}`,
 		delta(8, entry("s1", "up")))
-	if n := receive(t, "news", told); n.kind != policy.ListUpdate || n.members[0].Server != "s1" {
+	if n := receive(t, "news", told); n.Kind != policy.ListUpdate || n.Members[0].Server != "s1" {
 		t.Errorf("news %+v", n)
 	}
 	indexes(t, queries, "7", "7", "7", "7", "7", "8")
@@ -115,7 +132,7 @@
 		delta(1, `{"id":"a","phase":"up","host_port":"127.0.0.1:9","up_since_ms":-1}`):   "members[0].up_since_ms",
 		delta(1, `{"id":"a","phase":"up","host_port":"127.0.0.1:9","up_since_ms":1e99}`): "members[0].up_since_ms",
 	} {
-		if _, err := parseList([]byte(raw)); err == nil || !strings.Contains(err.Error(), want) {
+		if _, err := ParseList([]byte(raw)); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: got %v, want it to name %q", raw, err, want)
 		}
 	}
@@ -141,12 +158,12 @@
 		})
 		d, told, first := watched(t, subscribe)
 		if subscribe {
-			d.ask(true)
+			d.Ask(true)
 		}
 		receive(t, "the call at the old address", first)
-		d.move(silent)
-		d.move(next)
-		if n := receive(t, "the list of the new address", told); n.kind != policy.ListReplace || n.members[0].Server != "s9" {
+		d.Move(silent)
+		d.Move(next)
+		if n := receive(t, "the list of the new address", told); n.Kind != policy.ListReplace || n.Members[0].Server != "s9" {
 			t.Errorf("subscribe %v: news %+v", subscribe, n)
 		}
 		if q := receive(t, "the first call", queries); q != "" {
@@ -170,15 +187,13 @@
 		close(closed)
 	})
 	next := make(chan struct{}, 10)
-	c := testConfig(t, knownList("127.0.0.1:9"))
-	c.Discovery = old
-	d := newDiscovery(c, func(any) {})
+	d := New(Config{Addr: old, Revision: 7, Nodes: 1, Seed: 1}, func(News) {})
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan struct{})
-	go func() { d.run(ctx); close(ended) }()
+	go func() { d.Run(ctx); close(ended) }()
 	defer func() { cancel(); receive(t, "the end of discovery", ended) }()
 	receive(t, "the call", called)
-	d.move(httpServer(t, func(_ http.ResponseWriter, r *http.Request) { next <- struct{}{}; <-r.Context().Done() }))
+	d.Move(httpServer(t, func(_ http.ResponseWriter, r *http.Request) { next <- struct{}{}; <-r.Context().Done() }))
 	receive(t, "the end of the old call", closed)
 	receive(t, "the new call", next)
 }
--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -15,6 +15,7 @@
 	"testing/synctest"
 	"time"
 
+	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
 
@@ -214,7 +215,7 @@
 			}
 			return nil
 		})
-		l.send(news{kind: policy.ListReplace, members: members(t, c.servers...), revision: 1})
+		l.send(discovery.News{Kind: policy.ListReplace, Members: members(t, c.servers...), Revision: 1})
 		x := streamed(t, "r1", bytes.NewReader(large(4<<20)), wholeBody+4<<20)
 		x.came, x.clientWaits = l.clock.now(), long
 		l.send(arrival{x})
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -7,11 +7,12 @@
 	"errors"
 	"fmt"
 	"math"
-	"net"
 	"os"
 	"strconv"
 	"time"
 
+	"cobaltward/internal/discovery"
+	"cobaltward/internal/field"
 	"cobaltward/internal/wire"
 	"cobaltward/policy"
 )
@@ -26,8 +27,8 @@
 	Cores     float64
 	MemoryMB  int64
 	Sockets   int
-	Known     list   // the servers as this node last had them, perhaps stale
-	Handover  string // the folder that an old and a new process of this node share; empty: there is none
+	Known     discovery.List // the servers as this node last had them, perhaps stale
+	Handover  string         // the folder that an old and a new process of this node share; empty: there is none
 	Settings  policy.Settings
 
 	// Figures of the settings that bind the node and not the module.
@@ -35,6 +36,13 @@
 	ConnectTimeout time.Duration // for a new connection to a server
 }
 
+// following is what the node's discovery client goes by.
+func (c Config) following() discovery.Config {
+	return discovery.Config{Addr: c.Discovery, Subscribe: c.Settings.Subscribe, Revision: c.Known.Revision,
+		Node: c.Settings.Node, Nodes: c.Settings.Nodes, Seed: c.Seed,
+		DrainGrace: c.Settings.Rules.DrainGrace, AskWithin: c.Settings.Rules.AskWithin}
+}
+
 // leastSockets is what a node can work with at all: a few for itself, and some for each side.
 const leastSockets = 64
 
@@ -56,16 +64,16 @@
 			*field = v
 		}
 	}
-	if err := checkAddress(c.Listen); err != nil {
+	if err := field.CheckAddress(c.Listen); err != nil {
 		return Config{}, fmt.Errorf("configuration: listen: %w", err)
 	}
-	if err := checkAddress(c.Discovery); err != nil {
+	if err := field.CheckAddress(c.Discovery); err != nil {
 		return Config{}, fmt.Errorf("configuration: discovery: %w", err)
 	}
 	if c.Operator == "" {
 		return c, nil
 	}
-	if err := checkAddress(c.Operator); err != nil {
+	if err := field.CheckAddress(c.Operator); err != nil {
 		return Config{}, fmt.Errorf("configuration: operator: %w", err)
 	}
 	return c, nil
@@ -78,7 +86,7 @@
 	if err != nil {
 		return "", err
 	}
-	if err := checkAddress(c.Discovery); err != nil {
+	if err := field.CheckAddress(c.Discovery); err != nil {
 		return "", fmt.Errorf("configuration: discovery: %w", err)
 	}
 	return c.Discovery, nil
@@ -93,14 +101,15 @@
 	if err != nil {
 		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
-	c, err := parseConfig(raw)
+	c, err := ParseConfig(raw)
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
 	return c, nil
 }
 
-func parseConfig(raw []byte) (Config, error) {
+// ParseConfig reads a configuration file's text. Errors name the field.
+func ParseConfig(raw []byte) (Config, error) {
 	var f struct {
 		Name      string `json:"name"`
 		Listen    string `json:"listen"`
@@ -115,7 +124,7 @@
 		Known    json.RawMessage `json:"known"`
 		Settings json.RawMessage `json:"settings"`
 	}
-	if err := unmarshal(raw, &f); err != nil {
+	if err := field.Unmarshal(raw, &f); err != nil {
 		return Config{}, err
 	}
 	seed, err := strconv.ParseUint(f.Seed, 16, 64)
@@ -137,7 +146,7 @@
 			return Config{}, fmt.Errorf("%s: missing", name)
 		}
 	}
-	if c.Known, err = parseList(f.Known); err != nil {
+	if c.Known, err = discovery.ParseList(f.Known); err != nil {
 		return Config{}, fmt.Errorf("known: %w", err)
 	}
 	if c.Settings, err = wire.ParseSettings(f.Settings); err != nil {
@@ -158,7 +167,7 @@
 			ConnectTimeout float64 `json:"connectTimeout"`
 		} `json:"limits"`
 	}
-	if err := unmarshal(settings, &s); err != nil {
+	if err := field.Unmarshal(settings, &s); err != nil {
 		return fmt.Errorf("settings.%w", err)
 	}
 	switch l := s.Limits; {
@@ -174,24 +183,4 @@
 	return nil
 }
 
-// unmarshal names the field that can't be read as the configuration and the protocol name it.
-func unmarshal(raw []byte, to any) error {
-	err := json.Unmarshal(raw, to)
-	if bad := (*json.UnmarshalTypeError)(nil); errors.As(err, &bad) && bad.Field != "" {
-		return fmt.Errorf("%s: want %s, got %s", bad.Field, bad.Type, bad.Value)
-	}
-	return err
-}
-
-func checkAddress(addr string) error {
-	host, port, err := net.SplitHostPort(addr)
-	if err != nil {
-		return fmt.Errorf("want host:port, got %q", addr)
-	}
-	if _, err := strconv.ParseUint(port, 10, 16); err != nil || host == "" {
-		return fmt.Errorf("want host:port, got %q", addr)
-	}
-	return nil
-}
-
 func millis(ms float64) time.Duration { return time.Duration(ms * float64(time.Millisecond)) }
--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -14,6 +14,7 @@
 	"testing"
 	"time"
 
+	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
 
@@ -41,7 +42,7 @@
 	t.Helper()
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan struct{})
-	go func() { l.run(ctx, list{Members: members(t, addrs...)}); close(ended) }()
+	go func() { l.run(ctx, discovery.List{Members: members(t, addrs...)}); close(ended) }()
 	t.Cleanup(func() {
 		cancel()
 		receive(t, "the loop's end", ended)
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -15,9 +15,19 @@
 	"testing/synctest"
 	"time"
 
+	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
 
+// entry is one of a list in discovery's form, and delta what changed.
+func entry(id, phase string) string {
+	return fmt.Sprintf(`{"id":%q,"host_port":"127.0.0.1:9","phase":%q,"up_since_ms":0}`, id, phase)
+}
+
+func delta(revision int, entries ...string) string {
+	return fmt.Sprintf(`{"revision":%d,"complete":false,"members":[%s]}`, revision, strings.Join(entries, ","))
+}
+
 // registry is discovery on a test's clock. It handles calls in turn, turns away those that would wait for
 // too long, and can go wrong in the ways that the protocol tells of.
 type registry struct {
@@ -238,11 +248,13 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	l.disc.client.Transport.(*http.Transport).DialContext = r.dial(fmt.Sprint(n))
+	follow := c.following()
+	follow.Dial = r.dial(fmt.Sprint(n))
+	l.disc = discovery.New(follow, func(n discovery.News) { l.send(n) })
 	ctx, cancel := context.WithCancel(context.Background())
 	var parts sync.WaitGroup
 	parts.Go(func() { l.run(ctx, c.Known) })
-	parts.Go(func() { l.disc.run(ctx) })
+	parts.Go(func() { l.disc.Run(ctx) })
 	t.Cleanup(func() { cancel(); parts.Wait() })
 	return l
 }
@@ -376,7 +388,7 @@
 					r.mu.Unlock()
 					before := r.asked()
 					for _, l := range fleet {
-						l.disc.move("new:1")
+						l.disc.Move("new:1")
 					}
 					time.Sleep(4*time.Second + drainGrace)
 					late := 0
@@ -495,7 +507,7 @@
 							return ""
 						}
 						r.mu.Unlock()
-						l.disc.move("new:1")
+						l.disc.Move("new:1")
 						moved := time.Now()
 						time.Sleep(4*time.Second + drainGrace)
 						if !drains(l) {
@@ -622,21 +634,22 @@
 func TestAskedListsTellFailures(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		time.Sleep(1)
-		r, told := newRegistry(t), make(chan news, 100)
+		r, told := newRegistry(t), make(chan discovery.News, 100)
 		r.spoil = func(int) string { return "503" }
 		c := testConfig(t, knownList("127.0.0.1:9"))
 		c.Discovery, c.Settings.Subscribe, c.Settings.Rules.DrainGrace = "old:1", true, drainGrace
-		d := newDiscovery(c, func(ev any) { told <- ev.(news) })
-		d.client.Transport.(*http.Transport).DialContext = r.dial("0")
+		follow := c.following()
+		follow.Dial = r.dial("0")
+		d := discovery.New(follow, func(n discovery.News) { told <- n })
 		ctx, cancel := context.WithCancel(t.Context())
 		var parts sync.WaitGroup
-		parts.Go(func() { d.run(ctx) })
+		parts.Go(func() { d.Run(ctx) })
 		defer parts.Wait()
 		defer cancel()
 		for range 3 {
-			d.ask(true)
+			d.Ask(true)
 			began := time.Now()
-			if n := <-told; n.kind != policy.ListUnavailable {
+			if n := <-told; n.Kind != policy.ListUnavailable {
 				t.Fatalf("news %+v", n)
 			}
 			if after := time.Since(began); after > 6*time.Second+drainGrace+time.Second {
@@ -652,8 +665,8 @@
 		r.spoil = func(int) string { return "" }
 		r.mu.Unlock()
 		r.change(entry("s1", "up"))
-		d.ask(true)
-		if n := <-told; n.kind != policy.ListUpdate || len(n.members) != 1 {
+		d.Ask(true)
+		if n := <-told; n.Kind != policy.ListUpdate || len(n.Members) != 1 {
 			t.Errorf("news %+v", n)
 		}
 	})
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -17,6 +17,8 @@
 	"syscall"
 	"time"
 
+	"cobaltward/internal/discovery"
+	"cobaltward/internal/field"
 	"cobaltward/policy"
 )
 
@@ -48,7 +50,7 @@
 	Saved    time.Time
 	Standby  bool
 	Revision int64
-	Members  []member
+	Members  []discovery.Member
 	Policy   policy.Memory
 	// Connections that the process may have open yet, for the two are held to one node's descriptors.
 	Clients, Servers int
@@ -210,7 +212,7 @@
 		if m.Server == "" || m.Availability > policy.Removed || m.UpSince < 0 || m.UpSince >= 1<<53 {
 			return legacy{}, fmt.Errorf("members[%d] makes no sense", i)
 		}
-		if err := checkAddress(m.Addr); err != nil {
+		if err := field.CheckAddress(m.Addr); err != nil {
 			return legacy{}, fmt.Errorf("members[%d]: %w", i, err)
 		}
 	}
@@ -265,7 +267,7 @@
 			old.Clients, old.Servers = s.clientSockets/2, s.serverSockets/2
 		} else if old.Revision != s.heard { // what it was told, this node was told
 			s.heard = old.Revision
-			s.loop.send(bequeathed{list{Revision: old.Revision, Complete: true, Members: old.Members}})
+			s.loop.send(bequeathed{discovery.List{Revision: old.Revision, Complete: true, Members: old.Members}})
 		}
 		s.clients.bound(max(leastOfEach, s.clientSockets-old.Clients-s.ownSockets/2))
 		s.up.bound(max(leastOfEach, s.serverSockets-old.Servers-s.ownSockets/2))
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
 
@@ -69,7 +70,7 @@
 		if err != nil {
 			return
 		}
-		c := testConfigOf(t, list{Complete: true, Members: l.Members})
+		c := testConfigOf(t, discovery.List{Complete: true, Members: l.Members})
 		b, err := policy.New(c.Settings, timeOrigin, 1)
 		if err != nil {
 			t.Fatal(err)
@@ -79,7 +80,7 @@
 	})
 }
 
-func testConfigOf(t *testing.T, known list) Config {
+func testConfigOf(t *testing.T, known discovery.List) Config {
 	c := testConfig(t, knownList())
 	c.Known = known
 	return c
@@ -200,7 +201,7 @@
 		return len(names) == 1
 	})
 
-	c.Known = list{Revision: 1, Complete: true} // it knows of servers what the old process tells it
+	c.Known = discovery.List{Revision: 1, Complete: true} // it knows of servers what the old process tells it
 	operator, stopNew := sharedNode(t, c, socket.(*net.TCPListener))
 	await(t, "the new process's readiness", func() bool { return call(t, operator, "GET", "/status") == 200 })
 	old := make(chan error, 1)
@@ -319,7 +320,7 @@
 	now := time.Now()
 	hears := func(revision int64, phase policy.Availability) {
 		t.Helper()
-		left := legacy{Saved: now, Revision: revision, Members: []member{phased(t, "127.0.0.1:9", phase)}}
+		left := legacy{Saved: now, Revision: revision, Members: []discovery.Member{phased(t, "127.0.0.1:9", phase)}}
 		if err := first.write(left); err != nil {
 			t.Fatal(err)
 		}
@@ -334,7 +335,7 @@
 	if lists != 2 { // the loop has answered since
 		t.Errorf("the module was given %d lists, want the one at the start and the change", lists)
 	}
-	l.send(news{kind: policy.ListUpdate, members: []member{phased(t, "127.0.0.1:9", policy.Running)}, revision: 9})
+	l.send(discovery.News{Kind: policy.ListUpdate, Members: []discovery.Member{phased(t, "127.0.0.1:9", policy.Running)}, Revision: 9})
 	hears(10, policy.Draining)
 	if phase() != policy.Running {
 		t.Error("the old process's word goes before discovery's")
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -12,6 +12,7 @@
 	"sync"
 	"time"
 
+	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
 
@@ -64,17 +65,18 @@
 	maxOpen int
 	up      *upstream
 	clients *clients // for the log
-	disc    *discovery
+	disc    *discovery.Client
+	inForce func(revision int64, at time.Time) // hears of each list that requests go by; nil: nobody does
 
 	events   chan any
 	done     chan struct{} // closed when the loop has ended
 	ready    chan struct{} // closed when the known list is in
 	serves   chan struct{} // closed when a server is known
 	requests map[string]*request
-	members  map[string]member  // the list as it stands
-	listedAt int64              // its revision
-	heard    bool               // by discovery, since the start
-	lastSent map[string]sending // to each server listed; for the log
+	members  map[string]discovery.Member // the list as it stands
+	listedAt int64                       // its revision
+	heard    bool                        // by discovery, since the start
+	lastSent map[string]sending          // to each server listed; for the log
 	used     ids
 	owed     int // requests without their answer
 	stopping bool
@@ -136,7 +138,7 @@
 	bequest   struct { // asks what a successor should know
 		reply chan legacy
 	}
-	bequeathed struct{ list } // as the process before has it by now
+	bequeathed struct{ discovery.List } // as the process before has it by now
 )
 
 func newLoop(c Config, ck clock, up *upstream) (*loop, error) {
@@ -147,7 +149,7 @@
 	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up,
 		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}), serves: make(chan struct{}),
 		requests: make(map[string]*request), lastSent: make(map[string]sending), used: ids{seed: maphash.MakeSeed()}}
-	l.disc = newDiscovery(c, l.send)
+	l.disc = discovery.New(c.following(), func(n discovery.News) { l.send(n) })
 	return l, nil
 }
 
@@ -161,12 +163,12 @@
 
 // run handles events until ctx ends; then it calls off what is out and waits for it. The list as last
 // held comes before all else, as the module expects.
-func (l *loop) run(ctx context.Context, known list) {
+func (l *loop) run(ctx context.Context, known discovery.List) {
 	attemptsCtx, cancel := context.WithCancel(context.Background())
 	defer l.attempts.Wait()
 	defer cancel()
 	defer close(l.done)
-	l.handle(attemptsCtx, news{kind: policy.ListRestored, members: known.Members, revision: known.Revision})
+	l.handle(attemptsCtx, discovery.News{Kind: policy.ListRestored, Members: known.Members, Revision: known.Revision})
 	close(l.ready)
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
@@ -234,12 +236,12 @@
 		}
 	case ending:
 		l.end(ctx, e)
-	case news:
-		l.heard = l.heard || e.kind == policy.ListReplace || e.kind == policy.ListUpdate
+	case discovery.News:
+		l.heard = l.heard || e.Kind == policy.ListReplace || e.Kind == policy.ListUpdate
 		l.listed(ctx, e)
 	case bequeathed: // until discovery is heard, which knows better
 		if !l.heard && e.Revision != l.listedAt && len(e.Members) > 0 {
-			l.listed(ctx, news{kind: policy.ListReplace, members: e.Members, revision: e.Revision})
+			l.listed(ctx, discovery.News{Kind: policy.ListReplace, Members: e.Members, Revision: e.Revision})
 		}
 	case bequest:
 		left := legacy{Revision: l.listedAt, Members: slices.Collect(maps.Values(l.members))}
@@ -314,28 +316,44 @@
 	l.drop(e.r)
 }
 
-func (l *loop) listed(ctx context.Context, n news) {
-	if n.kind != policy.ListUnavailable {
+func (l *loop) listed(ctx context.Context, n discovery.News) {
+	if n.Kind != policy.ListUnavailable {
 		l.up.update(n)
 		l.noteLeaving(n, l.keep(n))
 		l.noteServers()
 	}
-	members := make([]policy.Member, len(n.members))
-	for i, m := range n.members {
+	members := make([]policy.Member, len(n.Members))
+	for i, m := range n.Members {
 		members[i] = m.Member
 		members[i].OnlineSince = l.clock.unix(m.UpSince)
 	}
-	l.tell(ctx, policy.MemberList{Kind: n.kind, Members: members})
+	began := l.clock.now()
+	l.tell(ctx, policy.MemberList{Kind: n.Kind, Members: members})
+	l.noteInForce(n, began)
+}
+
+// noteInForce tells that requests go by a list from now on, and how long the module took to take it in.
+func (l *loop) noteInForce(n discovery.News, began policy.Time) {
+	if n.Kind == policy.ListUnavailable || n.Kind == policy.ListUpdate && len(n.Members) == 0 {
+		return
+	}
+	if now := l.clock.now(); l.trace.mayWrite(now, "list") {
+		slog.Info("list: in force", "revision", n.Revision, "entries", len(n.Members),
+			"whole", n.Kind != policy.ListUpdate, "took", now-began)
+	}
+	if l.inForce != nil {
+		l.inForce(n.Revision, time.Now())
+	}
 }
 
 // keep holds the list together for a successor, and returns the servers that were up and leave.
-func (l *loop) keep(n news) (leaving []member) {
+func (l *loop) keep(n discovery.News) (leaving []discovery.Member) {
 	old := l.members
-	if n.kind != policy.ListUpdate {
-		l.members = make(map[string]member, len(n.members))
+	if n.Kind != policy.ListUpdate {
+		l.members = make(map[string]discovery.Member, len(n.Members))
 	}
-	l.listedAt = n.revision
-	for _, m := range n.members {
+	l.listedAt = n.Revision
+	for _, m := range n.Members {
 		if was, ok := old[m.Server]; ok && was.Availability == policy.Running && m.Availability != policy.Running {
 			leaving = append(leaving, m)
 		}
@@ -343,11 +361,11 @@
 			delete(l.members, m.Server)
 		}
 	}
-	if n.kind == policy.ListUpdate {
+	if n.Kind == policy.ListUpdate {
 		return leaving
 	}
-	listed := make(map[string]bool, len(n.members))
-	for _, m := range n.members {
+	listed := make(map[string]bool, len(n.Members))
+	for _, m := range n.Members {
 		listed[m.Server] = true
 	}
 	for id, m := range old {
@@ -375,10 +393,10 @@
 }
 
 // noteLeaving tells the log of each server that leaves, and of the last request that went there.
-func (l *loop) noteLeaving(n news, leaving []member) {
-	if len(leaving) > 0 && !n.asked.IsZero() {
-		slog.Info("list: servers leave", "servers", len(leaving), "revision", n.revision,
-			"asked_ago", time.Since(n.asked), "heard_ago", time.Since(n.heard))
+func (l *loop) noteLeaving(n discovery.News, leaving []discovery.Member) {
+	if len(leaving) > 0 && !n.Asked.IsZero() {
+		slog.Info("list: servers leave", "servers", len(leaving), "revision", n.Revision,
+			"asked_ago", time.Since(n.Asked), "heard_ago", time.Since(n.Heard))
 	}
 	for _, m := range leaving {
 		last, now := l.lastSent[m.Server], l.clock.now()
@@ -444,7 +462,7 @@
 	case policy.CloseIdle:
 		l.up.closeIdle(a.Server)
 	case policy.WatchList:
-		l.disc.ask(a.On)
+		l.disc.Ask(a.On)
 	case policy.Log:
 		slog.Info(a.Text)
 	default: // probes and peer messages are not allowed here, and the module asks for none
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
 
@@ -79,12 +80,12 @@
 	defer parts.Wait()
 	defer stop()
 	parts.Go(func() { l.run(running, c.Known) })
-	parts.Go(func() { l.disc.run(running) })
+	parts.Go(func() { l.disc.Run(running) })
 	parts.Go(func() {
 		for {
 			select {
 			case addr := <-moves:
-				l.disc.move(addr)
+				l.disc.Move(addr)
 			case <-running.Done():
 				return
 			}
@@ -159,7 +160,7 @@
 	slog.Info("handover: taking over", "servers", len(old.Members), "revision", old.Revision, "standby", old.Standby,
 		"age", time.Since(old.Saved))
 	if len(old.Members) > 0 {
-		c.Known = list{Revision: old.Revision, Complete: true, Members: old.Members}
+		c.Known = discovery.List{Revision: old.Revision, Complete: true, Members: old.Members}
 	}
 	return h, old
 }
--- a/internal/node/readiness_test.go
+++ b/internal/node/readiness_test.go
@@ -7,6 +7,7 @@
 	"testing/synctest"
 	"time"
 
+	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
 
@@ -28,14 +29,14 @@
 			began, ready := time.Now(), make(chan bool, 1)
 			go func() { ready <- l.awaitServers(ctx) }()
 			time.Sleep(time.Second)
-			l.send(news{kind: policy.ListUpdate, revision: 2}) // with nobody in it
-			l.send(news{kind: policy.ListUpdate, revision: 3, members: []member{phased(t, "127.0.0.1:9", policy.Draining)}})
+			l.send(discovery.News{Kind: policy.ListUpdate, Revision: 2}) // with nobody in it
+			l.send(discovery.News{Kind: policy.ListUpdate, Revision: 3, Members: []discovery.Member{phased(t, "127.0.0.1:9", policy.Draining)}})
 			synctest.Wait()
 			if len(ready) > 0 {
 				t.Fatal("ready without a server")
 			}
 			if hears {
-				l.send(news{kind: policy.ListUpdate, revision: 4, members: []member{phased(t, "127.0.0.1:9", policy.Running)}})
+				l.send(discovery.News{Kind: policy.ListUpdate, Revision: 4, Members: []discovery.Member{phased(t, "127.0.0.1:9", policy.Running)}})
 			}
 			if <-ready != hears {
 				t.Errorf("a server is known: %v", !hears)
--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -7,16 +7,17 @@
 	"testing"
 	"time"
 
+	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
 
 // many is how many servers, and how many nodes, the operators may have at least.
 const many = 1024
 
-func manyMembers(n int) []member {
-	all := make([]member, n)
+func manyMembers(n int) []discovery.Member {
+	all := make([]discovery.Member, n)
 	for i := range all {
-		all[i] = member{Addr: fmt.Sprintf("127.1.%d.%d:9000", i/256, i%256), Member: policy.Member{
+		all[i] = discovery.Member{Addr: fmt.Sprintf("127.1.%d.%d:9000", i/256, i%256), Member: policy.Member{
 			Server: fmt.Sprintf("s-%08x", i*2654435761%(1<<32)), Zone: string(rune('a' + i%3)), Kind: "k", Cell: int64(i / 8), Weight: 1}}
 	}
 	return all
@@ -25,7 +26,7 @@
 // What many servers and tenants leave to a successor is written and read whole.
 func TestManyServersAreHandedOver(t *testing.T) {
 	l := manyLoop(t, many)
-	l.listed(t.Context(), news{kind: policy.ListReplace, members: manyMembers(many), revision: 5})
+	l.listed(t.Context(), discovery.News{Kind: policy.ListReplace, Members: manyMembers(many), Revision: 5})
 	for i := range many {
 		l.module.Handle(l.clock.now(), policy.Request{ID: fmt.Sprint("r", i), Class: "read", Tenant: fmt.Sprint("tenant ", i), ExpiresIn: time.Second})
 	}
@@ -57,8 +58,8 @@
 	for i := range next {
 		next[i].Addr, next[i].UpSince = old[many-1-i].Addr, 1
 	}
-	l.up.update(news{kind: policy.ListReplace, members: old})
-	l.up.update(news{kind: policy.ListUpdate, members: next})
+	l.up.update(discovery.News{Kind: policy.ListReplace, Members: old})
+	l.up.update(discovery.News{Kind: policy.ListUpdate, Members: next})
 	for _, m := range old {
 		if l.up.pools[m.Server] != nil {
 			t.Fatalf("%s is still at an address that another has", m.Server)
@@ -69,7 +70,7 @@
 			t.Fatalf("%s is not at %s", m.Server, m.Addr)
 		}
 	}
-	l.up.update(news{kind: policy.ListUpdate, members: old}) // late, of those that started before
+	l.up.update(discovery.News{Kind: policy.ListUpdate, Members: old}) // late, of those that started before
 	if len(l.up.pools) != many || len(l.up.at) != many {
 		t.Errorf("%d pools at %d addresses, want %d", len(l.up.pools), len(l.up.at), many)
 	}
@@ -79,23 +80,23 @@
 	for _, n := range []int{many / 4, many} {
 		b.Run(fmt.Sprint("replace ", n), func(b *testing.B) {
 			l := manyLoop(b, n)
-			lists := [2]news{{kind: policy.ListReplace, members: manyMembers(n)}, {kind: policy.ListReplace, members: manyMembers(2 * n)[n:]}}
+			lists := [2]discovery.News{{Kind: policy.ListReplace, Members: manyMembers(n)}, {Kind: policy.ListReplace, Members: manyMembers(2 * n)[n:]}}
 			for i := 0; b.Loop(); i++ {
 				l.listed(b.Context(), lists[i%2])
 			}
 		})
 		b.Run(fmt.Sprint("one drains ", n), func(b *testing.B) {
 			l := manyLoop(b, n)
-			l.listed(b.Context(), news{kind: policy.ListReplace, members: manyMembers(n)})
+			l.listed(b.Context(), discovery.News{Kind: policy.ListReplace, Members: manyMembers(n)})
 			for i := 0; b.Loop(); i++ {
 				m := manyMembers(1)
 				m[0].Availability = policy.Availability(i % 2)
-				l.listed(b.Context(), news{kind: policy.ListUpdate, members: m})
+				l.listed(b.Context(), discovery.News{Kind: policy.ListUpdate, Members: m})
 			}
 		})
 		b.Run(fmt.Sprint("word to a successor ", n), func(b *testing.B) {
 			l := manyLoop(b, n)
-			l.listed(b.Context(), news{kind: policy.ListReplace, members: manyMembers(n)})
+			l.listed(b.Context(), discovery.News{Kind: policy.ListReplace, Members: manyMembers(n)})
 			for b.Loop() {
 				left := legacy{Members: manyMembers(n), Policy: l.module.(*policy.Balancer).Remember(l.clock.now())}
 				raw, err := encodeLegacy(left)
@@ -107,7 +108,7 @@
 		})
 		b.Run(fmt.Sprint("request ", n), func(b *testing.B) {
 			l := manyLoop(b, n)
-			l.listed(b.Context(), news{kind: policy.ListReplace, members: manyMembers(n)})
+			l.listed(b.Context(), discovery.News{Kind: policy.ListReplace, Members: manyMembers(n)})
 			for i := 0; b.Loop(); i++ {
 				id := fmt.Sprint("r", i)
 				now := l.clock.now()
@@ -123,7 +124,7 @@
 
 func manyLoop(tb testing.TB, nodes int) *loop {
 	tb.Helper()
-	c, err := parseConfig([]byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1f",
+	c, err := ParseConfig([]byte(fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1f",
 		"limits":{"cores":1,"memory_mb":32,"sockets":256},"known":{"revision":1,"members":[]},"settings":%s}`, testSettings)))
 	if err != nil {
 		tb.Fatal(err)
--- a/internal/node/testing_test.go
+++ b/internal/node/testing_test.go
@@ -13,6 +13,7 @@
 	"testing"
 	"time"
 
+	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
 
@@ -32,7 +33,7 @@
 	t.Helper()
 	raw := fmt.Sprintf(`{"name":"n0","listen":"127.0.0.1:0","discovery":"127.0.0.1:9","seed":"1f",
 		"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":%s,"settings":%s}`, known, testSettings)
-	c, err := parseConfig([]byte(raw))
+	c, err := ParseConfig([]byte(raw))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -49,9 +50,9 @@
 	return fmt.Sprintf(`{"revision":7,"complete":true,"members":[%s]}`, strings.Join(entries, ","))
 }
 
-func members(t *testing.T, addrs ...string) []member {
+func members(t *testing.T, addrs ...string) []discovery.Member {
 	t.Helper()
-	l, err := parseList([]byte(knownList(addrs...)))
+	l, err := discovery.ParseList([]byte(knownList(addrs...)))
 	if err != nil {
 		t.Fatal(err)
 	}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -15,6 +15,7 @@
 	"syscall"
 	"time"
 
+	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
 
@@ -73,7 +74,7 @@
 	leave   context.CancelFunc
 }
 
-func newPool(m member) *pool {
+func newPool(m discovery.Member) *pool {
 	p := &pool{addr: m.Addr, upSince: m.UpSince}
 	p.leaving, p.leave = context.WithCancel(context.Background())
 	return p
@@ -105,11 +106,11 @@
 
 // update follows the list. A server that moved or started anew gets a new pool: what was open to its
 // former process is of no use.
-func (u *upstream) update(n news) {
+func (u *upstream) update(n discovery.News) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	listed := make(map[string]bool, len(n.members))
-	for _, m := range n.members {
+	listed := make(map[string]bool, len(n.Members))
+	for _, m := range n.Members {
 		p := u.pools[m.Server]
 		listed[m.Server] = true
 		switch {
@@ -127,7 +128,7 @@
 			p.leaving, p.leave = context.WithCancel(context.Background())
 		}
 	}
-	if n.kind == policy.ListUpdate {
+	if n.Kind == policy.ListUpdate {
 		return
 	}
 	for id := range u.pools {
@@ -139,7 +140,7 @@
 
 // take makes a pool for m, unless another server has its address by now: of two at one address the
 // one that started last is there, and what is meant for the other must not reach it.
-func (u *upstream) take(m member) {
+func (u *upstream) take(m discovery.Member) {
 	if id, taken := u.at[m.Addr]; taken {
 		if u.pools[id].upSince > m.UpSince {
 			return
@@ -196,7 +197,7 @@
 }
 
 // close drops all idle connections; those in use end with their attempts.
-func (u *upstream) close() { u.update(news{kind: policy.ListReplace}) }
+func (u *upstream) close() { u.update(discovery.News{Kind: policy.ListReplace}) }
 
 // quiet tells whether a connection is open and has brought nothing that is still to be read. It
 // doesn't wait for whoever is reading.
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -12,6 +12,7 @@
 	"testing"
 	"time"
 
+	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
 
@@ -19,7 +20,7 @@
 	t.Helper()
 	c := testConfig(t, knownList(addrs...))
 	u := newUpstream(c, 100)
-	u.update(news{kind: policy.ListRestored, members: c.Known.Members})
+	u.update(discovery.News{Kind: policy.ListRestored, Members: c.Known.Members})
 	t.Cleanup(u.close)
 	return u
 }
@@ -310,14 +311,14 @@
 	restarted.UpSince = 5
 	removed.Availability = policy.Removed
 	for name, c := range map[string]struct {
-		n    news
+		n    discovery.News
 		want int
 	}{
-		"same":      {news{kind: policy.ListUpdate, members: []member{base}}, 1},
-		"restarted": {news{kind: policy.ListUpdate, members: []member{restarted}}, 0},
-		"removed":   {news{kind: policy.ListUpdate, members: []member{removed}}, 0},
-		"no news":   {news{kind: policy.ListUpdate}, 1},
-		"missing":   {news{kind: policy.ListReplace}, 0},
+		"same":      {discovery.News{Kind: policy.ListUpdate, Members: []discovery.Member{base}}, 1},
+		"restarted": {discovery.News{Kind: policy.ListUpdate, Members: []discovery.Member{restarted}}, 0},
+		"removed":   {discovery.News{Kind: policy.ListUpdate, Members: []discovery.Member{removed}}, 0},
+		"no news":   {discovery.News{Kind: policy.ListUpdate}, 1},
+		"missing":   {discovery.News{Kind: policy.ListReplace}, 0},
 	} {
 		u := testUpstream(t, addr)
 		ended(t, u, testExchange(http.MethodGet, "r1", ""))
@@ -403,10 +404,10 @@
 	u := testUpstream(t, addr)
 	next := members(t, addr)[0]
 	next.Server, next.UpSince = "s1", 5
-	u.update(news{kind: policy.ListUpdate, members: []member{next}})
+	u.update(discovery.News{Kind: policy.ListUpdate, Members: []discovery.Member{next}})
 	late := members(t, addr)[0]
 	late.Availability = policy.Draining
-	u.update(news{kind: policy.ListUpdate, members: []member{late}}) // of the old one, and late
+	u.update(discovery.News{Kind: policy.ListUpdate, Members: []discovery.Member{late}}) // of the old one, and late
 	if r := ended(t, u, testExchange(http.MethodGet, "r1", "")); r.code != policy.ConnectFailed {
 		t.Errorf("to the old server: code %v", r.code)
 	}
@@ -421,11 +422,11 @@
 func TestNothingIsSentToAServerThatBeganToLeave(t *testing.T) {
 	heard := make(chan struct{}, 10)
 	addr := httpServer(t, func(w http.ResponseWriter, _ *http.Request) { heard <- struct{}{} })
-	for what, end := range map[string]news{
-		"drains":      {kind: policy.ListUpdate, members: []member{phased(t, addr, policy.Draining)}},
-		"is removed":  {kind: policy.ListUpdate, members: []member{phased(t, addr, policy.Removed)}},
-		"is missing":  {kind: policy.ListReplace},
-		"starts anew": {kind: policy.ListUpdate, members: []member{{Member: phased(t, addr, policy.Running).Member, Addr: addr, UpSince: 5}}},
+	for what, end := range map[string]discovery.News{
+		"drains":      {Kind: policy.ListUpdate, Members: []discovery.Member{phased(t, addr, policy.Draining)}},
+		"is removed":  {Kind: policy.ListUpdate, Members: []discovery.Member{phased(t, addr, policy.Removed)}},
+		"is missing":  {Kind: policy.ListReplace},
+		"starts anew": {Kind: policy.ListUpdate, Members: []discovery.Member{{Member: phased(t, addr, policy.Running).Member, Addr: addr, UpSince: 5}}},
 	} {
 		for _, heeds := range []bool{true, false} { // whether the dial ends when it is called off
 			u := testUpstream(t, addr)
@@ -451,14 +452,14 @@
 		}
 	}
 	u := testUpstream(t, addr)
-	u.update(news{kind: policy.ListUpdate, members: []member{phased(t, addr, policy.Draining)}})
+	u.update(discovery.News{Kind: policy.ListUpdate, Members: []discovery.Member{phased(t, addr, policy.Draining)}})
 	if r := ended(t, u, testExchange(http.MethodGet, "b", "")); r.code != policy.ConnectFailed || r.err != errLeaving || r.opened {
 		t.Errorf("draining already: %v, %v, opened %v", r.code, r.err, r.opened)
 	}
 	if len(heard) > 0 {
 		t.Error("a request reached the server")
 	}
-	u.update(news{kind: policy.ListUpdate, members: []member{phased(t, addr, policy.Running)}})
+	u.update(discovery.News{Kind: policy.ListUpdate, Members: []discovery.Member{phased(t, addr, policy.Running)}})
 	if r := ended(t, u, testExchange(http.MethodGet, "c", "")); r.code != policy.OK {
 		t.Errorf("up again: %v, %v", r.code, r.err)
 	}
@@ -472,7 +473,7 @@
 	ends := make(chan result, 1)
 	go func() { ends <- ended(t, u, testExchange(http.MethodGet, "a", "")) }()
 	receive(t, "the request", began)
-	u.update(news{kind: policy.ListUpdate, members: []member{phased(t, addr, policy.Draining)}})
+	u.update(discovery.News{Kind: policy.ListUpdate, Members: []discovery.Member{phased(t, addr, policy.Draining)}})
 	close(finish)
 	if r := receive(t, "the attempt's end", ends); r.code != policy.OK {
 		t.Errorf("%v, %v", r.code, r.err)
@@ -480,7 +481,7 @@
 }
 
 // phased is the first server of testUpstream in another phase.
-func phased(t *testing.T, addr string, phase policy.Availability) member {
+func phased(t *testing.T, addr string, phase policy.Availability) discovery.Member {
 	m := members(t, addr)[0]
 	m.Availability = phase
 	return m
