--- /dev/null
+++ b/internal/scale/registry_test.go
@@ -0,0 +1,360 @@
+package scale
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"net/http/httptest"
+	"reflect"
+	"sync"
+	"syscall"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"go.uber.org/goleak"
+)
+
+func entry(id, phase string) Entry {
+	return Entry{ID: id, HostPort: "127.64.0.1:1", Locality: "z01", Flavor: "k", Phase: phase, Size: 1}
+}
+
+// handler is a registry without sockets.
+func handler(t *testing.T, plan DiscoveryPlan, members ...Entry) (*Registry, *registryPort) {
+	t.Helper()
+	r, err := newRegistry(RegistryConfig{Listeners: 1, Plan: plan, Members: members})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r, r.addPort("")
+}
+
+func get(p *registryPort, query string) (int, memberList) {
+	rec := httptest.NewRecorder()
+	p.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/registry/instances"+query, nil))
+	var l memberList
+	if rec.Code == http.StatusOK {
+		if err := json.Unmarshal(rec.Body.Bytes(), &l); err != nil {
+			panic(err)
+		}
+	}
+	return rec.Code, l
+}
+
+func TestTheWholeListIsInDiscoverysForm(t *testing.T) {
+	_, p := handler(t, DiscoveryPlan{}, Entry{ID: "s-1", HostPort: "127.64.0.1:1", Locality: "z01", Flavor: "k-0001",
+		Cell: 3, Phase: "up", Size: 1, UpSinceMS: 7})
+	rec := httptest.NewRecorder()
+	p.ServeHTTP(rec, httptest.NewRequest(http.MethodGet, "/registry/instances", nil))
+	const want = `{"revision":1,"complete":true,"members":[{"id":"s-1","host_port":"127.64.0.1:1","locality":"z01",` +
+		`"flavor":"k-0001","cell":3,"phase":"up","size":1,"up_since_ms":7}]}`
+	if got := rec.Body.String(); rec.Code != http.StatusOK || got != want {
+		t.Errorf("want %s, got %d %s", want, rec.Code, got)
+	}
+}
+
+func TestAWatchGetsTheLatestStateOfWhatChanged(t *testing.T) {
+	r, p := handler(t, DiscoveryPlan{}, entry("a", "up"), entry("b", "up"), entry("c", "up"))
+	r.Change([]Entry{entry("a", "draining")})                    // 2
+	r.Change([]Entry{entry("b", "removed"), entry("d", "up")})   // 3
+	if rev, _ := r.Change([]Entry{entry("a", "up")}); rev != 4 { // 4
+		t.Fatalf("revision %d", rev)
+	}
+	for _, c := range []struct {
+		query string
+		want  memberList
+	}{
+		{"?index=1", memberList{4, false, []Entry{entry("b", "removed"), entry("d", "up"), entry("a", "up")}}},
+		{"?index=3&wait=20000", memberList{4, false, []Entry{entry("a", "up")}}},
+		{"?index=4", memberList{4, false, []Entry{}}},
+		{"", memberList{4, true, []Entry{entry("a", "up"), entry("c", "up"), entry("d", "up")}}},
+		{"?index=5&wait=9", memberList{4, true, []Entry{entry("a", "up"), entry("c", "up"), entry("d", "up")}}},
+		{"?index=0&wait=9", memberList{4, true, []Entry{entry("a", "up"), entry("c", "up"), entry("d", "up")}}},
+	} {
+		if code, got := get(p, c.query); code != http.StatusOK || !reflect.DeepEqual(got, c.want) {
+			t.Errorf("%q: want %v, got %d %v", c.query, c.want, code, got)
+		}
+	}
+	got, want := r.Stats()[0], RegistryStats{WatchCalls: 5, WholeCalls: 1, Deltas: 2, EmptyDeltas: 1, WholeLists: 3}
+	want.DeltaBytes, want.WholeBytes = got.DeltaBytes, got.WholeBytes
+	if got != want || got.DeltaBytes == 0 || got.WholeBytes == 0 {
+		t.Errorf("want %+v, got %+v", want, got)
+	}
+}
+
+func TestAWatchFromBeforeWhatIsRememberedGetsTheWholeList(t *testing.T) {
+	r, p := handler(t, DiscoveryPlan{}, entry("a", "up"))
+	for range maxRemembered {
+		r.Change([]Entry{entry("a", "up"), entry("b", "up")}) // two entries each: half of the revisions are kept
+	}
+	last := int64(1 + maxRemembered)
+	for _, c := range []struct {
+		index int64
+		whole bool
+	}{{1, true}, {last - maxRemembered/2 - 1, true}, {last - maxRemembered/2, false}, {last - 1, false}} {
+		if _, got := get(p, fmt.Sprintf("?index=%d", c.index)); got.Complete != c.whole || len(got.Members) != 2 {
+			t.Errorf("%d: %v", c.index, got)
+		}
+	}
+	if len(r.list.log) > maxRemembered {
+		t.Errorf("%d entries are kept", len(r.list.log))
+	}
+}
+
+func TestBadCallsAreRefused(t *testing.T) {
+	_, p := handler(t, DiscoveryPlan{}, entry("a", "up"))
+	for query, want := range map[string]int{"?index=x": 400, "?index=": 400, "?index=1&wait=-1": 400, "?index=1&wait=x": 400} {
+		if code, _ := get(p, query); code != want {
+			t.Errorf("%q: %d", query, code)
+		}
+	}
+	for _, req := range []*http.Request{httptest.NewRequest(http.MethodGet, "/other", nil),
+		httptest.NewRequest(http.MethodPost, "/registry/instances", nil)} {
+		rec := httptest.NewRecorder()
+		p.ServeHTTP(rec, req)
+		if rec.Code != http.StatusNotFound {
+			t.Errorf("%s %s: %d", req.Method, req.URL, rec.Code)
+		}
+	}
+	if _, err := StartRegistry(RegistryConfig{}); err == nil {
+		t.Error("no listeners are taken")
+	}
+}
+
+func TestAWatchWaitsForAChangeOrTheEndOfItsWait(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, p := handler(t, DiscoveryPlan{}, entry("a", "up"))
+		start := time.Now()
+		if _, got := get(p, "?index=1&wait=20000"); time.Since(start) != 20*time.Second || got.Complete || len(got.Members) != 0 {
+			t.Errorf("after %v: %v", time.Since(start), got)
+		}
+		start = time.Now()
+		if get(p, "?index=1&wait=4000000"); time.Since(start) != time.Minute {
+			t.Errorf("the longest wait took %v", time.Since(start))
+		}
+		start = time.Now()
+		var calls sync.WaitGroup
+		for range 100 {
+			calls.Go(func() {
+				if _, got := get(p, "?index=1&wait=20000"); time.Since(start) != 3*time.Second || got.Revision != 2 || len(got.Members) != 1 {
+					t.Errorf("after %v: %v", time.Since(start), got)
+				}
+			})
+		}
+		time.Sleep(3 * time.Second)
+		if rev, at := r.Change([]Entry{entry("a", "draining")}); rev != 2 || !at.Equal(time.Now()) {
+			t.Errorf("revision %d at %v", rev, at)
+		}
+		calls.Wait()
+		if len(r.list.deltas) != 1 {
+			t.Errorf("%d answers were encoded", len(r.list.deltas))
+		}
+	})
+}
+
+func TestCallsPassInTurnAndLateOnesFail(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		plan := DiscoveryPlan{CallsPerSecond: 10, QueueLimit: Duration{250 * time.Millisecond}}
+		r, p := handler(t, plan, entry("a", "up"))
+		start := time.Now()
+		codes := make(chan string, 9)
+		for range 5 { // their turns are at 0, 100, 200 and 300 ms; from 300 on they are late
+			go func() {
+				code, _ := get(p, "")
+				codes <- fmt.Sprint(code, " ", time.Since(start))
+			}()
+		}
+		got := map[string]int{}
+		for range 5 {
+			got[<-codes]++
+		}
+		want := map[string]int{"200 100ms": 1, "200 200ms": 1, "200 300ms": 1, "503 250ms": 2}
+		if !reflect.DeepEqual(got, want) {
+			t.Errorf("want %v, got %v", want, got)
+		}
+		if s := r.Stats()[0]; s.Failures != 2 || s.WholeLists != 3 || s.WholeCalls != 5 {
+			t.Errorf("got %+v", s)
+		}
+		// A watch that waits does not hold the server.
+		start = time.Now()
+		watched := make(chan struct{})
+		go func() {
+			get(p, "?index=1&wait=5000")
+			close(watched)
+		}()
+		time.Sleep(time.Second)
+		if code, _ := get(p, ""); code != 200 || time.Since(start) != 1100*time.Millisecond {
+			t.Errorf("%d after %v", code, time.Since(start))
+		}
+		<-watched
+	})
+}
+
+func TestSilentDiscoveryAnswersNothingUntilItsEnd(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, p := handler(t, DiscoveryPlan{}, entry("a", "up"))
+		start := time.Now()
+		var calls sync.WaitGroup
+		for _, query := range []string{"", "?index=1&wait=20000", "?index=1&wait=1000", "?index=9"} {
+			calls.Go(func() {
+				time.Sleep(500 * time.Millisecond) // two are watches when the silence begins, the others come in it
+				if code, got := get(p, query); time.Since(start) != 6*time.Second || got.Revision != 2 {
+					t.Errorf("%q: %d %v after %v", query, code, got, time.Since(start))
+				}
+			})
+		}
+		calls.Go(func() {
+			if _, got := get(p, "?index=1&wait=20000"); time.Since(start) != 6*time.Second || got.Revision != 2 {
+				t.Errorf("the open watch: %v after %v", got, time.Since(start))
+			}
+		})
+		time.Sleep(250 * time.Millisecond)
+		r.Silence(time.Second)
+		r.Silence(5750 * time.Millisecond) // it lasts as long as the longer one
+		r.Silence(time.Millisecond)
+		time.Sleep(time.Second)
+		if _, at := r.Change([]Entry{entry("a", "draining")}); at.Sub(start) != 6*time.Second {
+			t.Errorf("it could be told after %v", at.Sub(start))
+		}
+		calls.Wait()
+		if code, _ := get(p, ""); code != 200 || time.Since(start) != 6*time.Second {
+			t.Errorf("%d after %v", code, time.Since(start))
+		}
+	})
+}
+
+func TestACallThatIsGivenUpEnds(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		r, _ := handler(t, DiscoveryPlan{CallsPerSecond: 1}, entry("a", "up"))
+		for _, silence := range []time.Duration{0, time.Minute} {
+			r.Silence(silence)
+			ctx, cancel := context.WithTimeout(t.Context(), 1500*time.Millisecond)
+			start := time.Now()
+			if _, err := r.call(ctx, true, 1, time.Minute); !errors.Is(err, context.DeadlineExceeded) || time.Since(start) != 1500*time.Millisecond {
+				t.Errorf("%v after %v", err, time.Since(start))
+			}
+			cancel()
+		}
+		time.Sleep(2 * time.Minute)
+	})
+}
+
+func startRegistry(t *testing.T, listeners int) *Registry {
+	t.Helper()
+	r, err := StartRegistry(RegistryConfig{Listeners: listeners, Members: NewWorld(smallStep, 1, 1).Members()})
+	if err != nil {
+		t.Fatal(err)
+	}
+	return r
+}
+
+func fetch(client *http.Client, addr, query string) (list memberList, err error) {
+	resp, err := client.Get("http://" + addr + "/registry/instances" + query)
+	if err != nil {
+		return list, err
+	}
+	defer resp.Body.Close()
+	raw, err := io.ReadAll(resp.Body)
+	if err != nil {
+		return list, err
+	}
+	return list, json.Unmarshal(raw, &list)
+}
+
+func TestListenersCountApartAndCloseEndsEverything(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	r := startRegistry(t, 2)
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	addrs := r.Addresses()
+	for range 2 {
+		if l, err := fetch(client, addrs[1], ""); err != nil || len(l.Members) != 43 {
+			t.Fatalf("%v, %v", l, err)
+		}
+	}
+	s := r.Stats()
+	if s[0] != (RegistryStats{}) || s[1].Connections != 1 || s[1].Open != 1 || s[1].WholeLists != 2 ||
+		s[1].BytesOut <= s[1].WholeBytes || s[1].BytesIn == 0 {
+		t.Errorf("got %+v", s)
+	}
+	ended := make(chan error)
+	go func() {
+		_, err := fetch(client, addrs[0], "?index=1&wait=60000")
+		ended <- err
+	}()
+	awaitTrue(t, "the watch", func() bool { return r.Stats()[0].WatchCalls == 1 })
+	r.Silence(time.Hour)
+	r.Close()
+	if err := <-ended; err == nil {
+		t.Error("the watch was answered")
+	}
+	if s := r.Stats(); s[0].Open != 0 || s[1].Open != 0 {
+		t.Errorf("got %+v", s)
+	}
+	r.Change(nil) // a change that crosses the end does no harm
+	r.Close()
+}
+
+func TestGoneDiscoveryResetsAndRefuses(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	r := startRegistry(t, 2)
+	defer r.Close()
+	var conns []net.Conn
+	for _, addr := range r.Addresses() {
+		c, err := net.Dial("tcp", addr)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		fmt.Fprintf(c, "GET /registry/instances?index=1&wait=60000 HTTP/1.1\r\nHost: d\r\n\r\n")
+		conns = append(conns, c)
+	}
+	for i := range conns {
+		awaitTrue(t, "the watch", func() bool { return r.Stats()[i].WatchCalls == 1 })
+	}
+	before := time.Now()
+	r.Gone(time.Hour)
+	for i, c := range conns {
+		if _, err := c.Read(make([]byte, 1)); !errors.Is(err, syscall.ECONNRESET) {
+			t.Errorf("read: %v", err)
+		}
+		if _, err := net.Dial("tcp", r.Addresses()[i]); !errors.Is(err, syscall.ECONNREFUSED) {
+			t.Errorf("dial: %v", err)
+		}
+		awaitTrue(t, "the failure", func() bool { return r.Stats()[i].Failures == 1 })
+	}
+	if _, at := r.Change(nil); at.Before(before.Add(time.Hour)) {
+		t.Errorf("it could be told at %v", at)
+	}
+}
+
+func TestGoneDiscoveryComesBackAtItsPorts(t *testing.T) {
+	defer goleak.VerifyNone(t)
+	r := startRegistry(t, 2)
+	defer r.Close()
+	client := &http.Client{Transport: &http.Transport{}}
+	defer client.CloseIdleConnections()
+	for range 3 {
+		r.Gone(time.Microsecond)
+		for _, addr := range r.Addresses() {
+			awaitTrue(t, "an answer", func() bool {
+				l, err := fetch(client, addr, "")
+				return err == nil && len(l.Members) == 43
+			})
+		}
+	}
+}
+
+// awaitTrue returns once it is so; the time only ends a test that fails.
+func awaitTrue(t *testing.T, what string, so func() bool) {
+	t.Helper()
+	for end := time.Now().Add(30 * time.Second); !so(); time.Sleep(time.Millisecond) {
+		if time.Now().After(end) {
+			t.Fatalf("waited in vain for %s", what)
+		}
+	}
+}
