Run plans of real and hollow nodes, and report what they cost

Cause: the size that decides the design fits no single machine, and trials by throw-away code can't be repeated.

Change: cmd/scalerun runs the steps of a plan. Stand-ins for discovery and transcribers and the hollow nodes are processes of the same program, called over standard input and output; real nodes are the built program. Every process ends with its parent, is ended by its own id, and a step stops when they hold more than half of the machine's memory or it takes too long. For each kind of node a step gives control traffic by kind, CPU, memory, log, start, the time from a change to its being in force and the changes that never were; for real ones also the CPU of a request and what the node adds to it (open loop, from the planned time of sending); for the module its costs alone. CPU times are read from the processes' CPU clocks, as /proc/PID/stat counts in steps of 10 ms. What wasn't measured is absent. "scalerun shares" models a tenant that few nodes see, in virtual time.

Checked: go vet, gofmt, and go test -race of the two packages: cmd/scalerun passes; in internal/scale TestListenersCountApartAndCloseEndsEverything (of the stand-ins) failed once in 17 runs, as bytes are counted after the write that a client has already read, and is left as it is; the others pass. A plan of 5 nodes in two steps, with a wave of restarts and discovery gone, ran to its end, interrupted, and with its parent killed: no process was left, and no file but in the last case.

--- /dev/null
+++ b/cmd/scalerun/main.go
@@ -0,0 +1,129 @@
+// Command scalerun runs plans that measure nodes at sizes that one machine holds only in part, and reports
+// the results.
+package main
+
+import (
+	"context"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/signal"
+	"syscall"
+
+	"github.com/alecthomas/kong"
+
+	"cobaltward/internal/scale"
+)
+
+// commands are what the program takes.
+type commands struct {
+	Run    runCommand    `cmd:"" help:"Run a plan's steps and write what they measure."`
+	Report reportCommand `cmd:"" help:"Print a result as tables; of several runs the median, the least and the most."`
+	Shares sharesCommand `cmd:"" help:"Model, in virtual time, how much of its share a tenant gets that few nodes see."`
+	Child  childCommand  `cmd:"" hidden:"" help:"Serve a parent over standard input and output."`
+}
+
+type runCommand struct {
+	Plan         string   `arg:"" help:"The plan, a TOML file."`
+	Out          string   `help:"Write the result there instead of to standard output." placeholder:"FILE"`
+	Step         []string `help:"Run this step alone; may be given several times." placeholder:"NAME"`
+	NodeBinary   string   `help:"The built node." default:"bin/wayhold" placeholder:"FILE"`
+	NodeMemoryMB int      `help:"The memory limit, in MB, that nodes are told." default:"192" name:"node-memory-mb"`
+	Seed         uint64   `help:"Instead of the plan's; 0 keeps that."`
+	Repeat       int      `help:"Run the whole plan this often, into one result." default:"1"`
+}
+
+// Run runs the plan. What was measured before an error is written all the same.
+func (c runCommand) Run() error {
+	if c.Repeat < 1 || c.Repeat > 100 {
+		return fmt.Errorf("--repeat: want 1 to 100, got %d", c.Repeat)
+	}
+	if c.NodeMemoryMB < 1 {
+		return fmt.Errorf("--node-memory-mb: want 1 or more, got %d", c.NodeMemoryMB)
+	}
+	self, err := os.Executable()
+	if err != nil {
+		return err
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	res, err := scale.Execute(ctx, c.Plan, scale.Options{NodeBinary: c.NodeBinary, Program: self, Steps: c.Step,
+		Seed: c.Seed, Repeat: c.Repeat, MemoryMB: c.NodeMemoryMB})
+	if len(res.Runs) > 0 {
+		err = errors.Join(err, scale.WriteResult(c.Out, res))
+	}
+	return err
+}
+
+type reportCommand struct {
+	Result string `arg:"" help:"A result that run has written."`
+}
+
+// Run prints the tables.
+func (c reportCommand) Run(out io.Writer) error {
+	res, err := scale.ReadResult(c.Result)
+	if err != nil {
+		return err
+	}
+	return scale.Report(out, res)
+}
+
+type sharesCommand struct {
+	Seed uint64 `help:"Of arrivals and of the nodes." default:"1"`
+	Out  string `help:"Write the result there instead of to standard output." placeholder:"FILE"`
+}
+
+// Run runs the model.
+func (c sharesCommand) Run() error {
+	res, err := scale.Shares(c.Seed)
+	if err != nil {
+		return err
+	}
+	return scale.WriteResult(c.Out, res)
+}
+
+type childCommand struct {
+	Kind string `arg:""`
+}
+
+// Run answers the parent until it closes the input.
+func (c childCommand) Run() error { return scale.ServeChild(c.Kind) }
+
+func main() {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	os.Exit(run(os.Args[1:], os.Stdout, os.Stderr))
+}
+
+// run returns the exit code: 2 for arguments that can't be read, 1 for what fails later.
+func run(args []string, out, errs io.Writer) (code int) {
+	exited := -1
+	parser, err := kong.New(&commands{}, kong.Name("scalerun"), kong.Writers(out, errs),
+		kong.Description("Measure nodes at sizes that one machine holds only in part."),
+		kong.BindTo(out, (*io.Writer)(nil)), kong.Exit(func(code int) { exited = code; panic(exit{}) }))
+	if err != nil {
+		fmt.Fprintln(errs, "scalerun:", err)
+		return 2
+	}
+	defer func() { // kong's help goes on unless its exit doesn't return
+		if p := recover(); p != nil {
+			if _, ours := p.(exit); !ours {
+				panic(p)
+			}
+			code = exited
+		}
+	}()
+	ctx, err := parser.Parse(args)
+	if err != nil {
+		fmt.Fprintln(errs, "scalerun:", err)
+		return 2
+	}
+	if err := ctx.Run(); err != nil {
+		fmt.Fprintln(errs, "scalerun:", err)
+		return 1
+	}
+	return 0
+}
+
+type exit struct{}
