Name what isn't in force at the end as that, and tell how a node ended

Cause: a change that took longer than the 5 s after the last one counted as never in force, which nobody had waited for. A node that ended by itself without a word left an empty error.

Change: not_in_force_at_the_end; the exit state in the error; the CPU time then waits for the note.

--- a/cmd/scalerun/main_test.go
+++ b/cmd/scalerun/main_test.go
@@ -89,9 +89,9 @@
 			t.Errorf("%s: CPU or log bytes were not measured", kind)
 		}
 		for _, p := range []*scale.PartResult{k.Quiet, k.Loaded} {
-			if p.InForce != nil && p.InForce.Count+*p.NeverInForce != int64(p.Changes*k.Nodes) {
+			if p.InForce != nil && p.InForce.Count+*p.NotInForce != int64(p.Changes*k.Nodes) {
 				t.Errorf("%s: %d pairs of node and change in force and %d not, want %d in all", kind, p.InForce.Count,
-					*p.NeverInForce, p.Changes*k.Nodes)
+					*p.NotInForce, p.Changes*k.Nodes)
 			}
 		}
 	}
--- a/internal/scale/real.go
+++ b/internal/scale/real.go
@@ -15,6 +15,7 @@
 	"strconv"
 	"sync"
 	"sync/atomic"
+	"syscall"
 	"time"
 )
 
@@ -37,6 +38,7 @@
 	ending   bool          // it was told to
 	past     time.Duration // CPU of the processes that have ended
 	lastLine []byte
+	state    string // of the last process that has ended, such as "exit status 1"
 }
 
 // start starts a process, which is ready some time later.
@@ -61,6 +63,7 @@
 		n.mu.Lock()
 		defer n.mu.Unlock()
 		n.cmd = nil
+		n.state = cmd.ProcessState.String()
 		n.past += cmd.ProcessState.UserTime() + cmd.ProcessState.SystemTime()
 	}()
 	return nil
@@ -145,7 +148,7 @@
 	select {
 	case <-n.ended:
 		if !n.ending {
-			return fmt.Errorf("node: ended by itself: %s", n.lastLine)
+			return fmt.Errorf("node: ended by itself: %s: %s", n.state, n.lastLine)
 		}
 	default:
 	}
@@ -169,12 +172,17 @@
 // cpu is that of all processes so far.
 func (n *realNode) cpu() (time.Duration, error) {
 	n.mu.Lock()
-	defer n.mu.Unlock()
-	if n.cmd == nil {
-		return n.past, nil
+	cmd, ended, past := n.cmd, n.ended, n.past
+	n.mu.Unlock()
+	if cmd == nil {
+		return past, nil
+	}
+	now, err := cpuOf(cmd.Process.Pid)
+	if errors.Is(err, syscall.EINVAL) { // it has just gone, and its time is about to be added
+		<-ended
+		return n.cpu()
 	}
-	now, err := cpuOf(n.cmd.Process.Pid)
-	return n.past + now, err
+	return past + now, err
 }
 
 // memory returns a field of /proc/PID/status in bytes.
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -116,8 +116,8 @@
 	Failures    float64  `json:"failures_per_second"`
 	Changes     int      `json:"changes"`
 	// Real nodes log the time rounded down to milliseconds, so that theirs are up to 1 ms too short.
-	InForce      *Spread `json:"change_to_in_force_ms,omitempty"` // of every node and change
-	NeverInForce *int64  `json:"never_in_force,omitempty"`        // pairs of node and change, settleFor after the last change
+	InForce    *Spread `json:"change_to_in_force_ms,omitempty"`   // of every node and change
+	NotInForce *int64  `json:"not_in_force_at_the_end,omitempty"` // pairs of node and change, settleFor (5 s) after the last change
 }
 
 // RegistryResult is what discovery's stand-in cost, over the quiet part.
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -625,7 +625,7 @@
 			for _, node := range r.real {
 				never += node.seen.delays(p.changes, h)
 			}
-			p.of(k).Changes, p.of(k).InForce, p.of(k).NeverInForce = len(p.changes), spread(h, 1e-3), &never
+			p.of(k).Changes, p.of(k).InForce, p.of(k).NotInForce = len(p.changes), spread(h, 1e-3), &never
 		}
 		if k := r.res.Hollow; k != nil && p.of(k) != nil && len(p.changes) > 0 {
 			h, never := histogram(), int64(0)
@@ -641,7 +641,7 @@
 				h.Merge(one)
 				never += reply.Never
 			}
-			p.of(k).Changes, p.of(k).InForce, p.of(k).NeverInForce = len(p.changes), spread(h, 1e-3), &never
+			p.of(k).Changes, p.of(k).InForce, p.of(k).NotInForce = len(p.changes), spread(h, 1e-3), &never
 		}
 	}
 	return nil
--- a/internal/scale/run_test.go
+++ b/internal/scale/run_test.go
@@ -125,7 +125,7 @@
 	step := func(cpu float64) StepResult {
 		return StepResult{Name: "one", Size: Size{Nodes: 300, Real: 1, Hollow: 20, ChangeRate: 2},
 			Faults:   []string{"discovery-gone for 1s at 2s"},
-			Real:     &KindResult{Nodes: 1, Processes: 1, ControlCPU: ptr(cpu), Quiet: &PartResult{Seconds: 2, BytesIn: 1234, NeverInForce: ptr(int64(0))}},
+			Real:     &KindResult{Nodes: 1, Processes: 1, ControlCPU: ptr(cpu), Quiet: &PartResult{Seconds: 2, BytesIn: 1234, NotInForce: ptr(int64(0))}},
 			Hollow:   &KindResult{Nodes: 20, Processes: 1, Heap: ptr(0.5)},
 			Registry: &RegistryResult{CPU: ptr(0.25)}}
 	}
@@ -164,7 +164,7 @@
 		"\ncontrol_cpu_core_share 0.03 (0.01..0.09) -\n",
 		"\nheap_mib_a_node - 0.5 (0.5..0.5)\n",
 		"\nquiet.control_bytes_to_node_per_second 1234 (1234..1234) -\n",
-		"\nquiet.never_in_force 0 (0..0) -\nregistry\ncpu_core_share 0.25 (0.25..0.25)\n",
+		"\nquiet.not_in_force_at_the_end 0 (0..0) -\nregistry\ncpu_core_share 0.25 (0.25..0.25)\n",
 	} {
 		if !strings.Contains(text, want) {
 			t.Errorf("no %q in\n%s", want, text)
