--- a/internal/scale/registry.go
+++ b/internal/scale/registry.go
@@ -17,12 +17,12 @@
 )
 
 const (
-	maxWait        = time.Minute // of one watch (PROTOCOL, Discovery)
+	maxWatchWait   = time.Minute // of one watch (PROTOCOL, Discovery)
 	maxRemembered  = 4096        // changed entries; a watch from before them gets the whole list
 	maxDeltas      = 64          // encoded answers kept for one revision
 	maxHeader      = 8 << 10     // bytes
-	headerTimeout  = 10 * time.Second
-	idleTimeout    = 2 * time.Minute
+	headTimeout    = 10 * time.Second
+	registryIdle   = 2 * time.Minute
 	listenAgain    = 10 * time.Millisecond // between tries, while the port can't be had
 	listenAgainFor = 5 * time.Second
 )
@@ -51,13 +51,13 @@
 	WholeBytes  int64 `json:"whole_bytes"`
 }
 
-// counters are RegistryStats as they grow.
-type counters struct {
+// registryCounters are RegistryStats as they grow.
+type registryCounters struct {
 	connections, open, watchCalls, wholeCalls, deltas, emptyDeltas, wholeLists, failures,
 	bytesIn, bytesOut, deltaBytes, wholeBytes atomic.Int64
 }
 
-func (c *counters) stats() RegistryStats {
+func (c *registryCounters) stats() RegistryStats {
 	return RegistryStats{Connections: c.connections.Load(), Open: c.open.Load(), WatchCalls: c.watchCalls.Load(),
 		WholeCalls: c.wholeCalls.Load(), Deltas: c.deltas.Load(), EmptyDeltas: c.emptyDeltas.Load(),
 		WholeLists: c.wholeLists.Load(), Failures: c.failures.Load(), BytesIn: c.bytesIn.Load(),
@@ -77,20 +77,20 @@
 	mu       sync.Mutex
 	list     changeLog
 	changed  chan struct{} // closed at the next change
-	silence  fault
-	gone     fault
+	silence  timedFault
+	gone     timedFault
 	stopping bool
 }
 
-// fault is something that ends by itself. It is guarded by its owner's lock.
-type fault struct {
+// timedFault is something that ends by itself. It is guarded by its owner's lock.
+type timedFault struct {
 	until time.Time
 	over  chan struct{} // closed at the end; nil: there is no fault
 	timer *time.Timer
 }
 
 // begin starts the fault, or lengthens it where it would end earlier.
-func (f *fault) begin(d time.Duration, end func()) {
+func (f *timedFault) begin(d time.Duration, end func()) {
 	until := time.Now().Add(d)
 	if f.over == nil {
 		f.over, f.until = make(chan struct{}), until
@@ -102,7 +102,7 @@
 }
 
 // end tells whether the fault is over now. A timer that went off just before it was set anew ends nothing.
-func (f *fault) end() bool {
+func (f *timedFault) end() bool {
 	if f.over == nil || time.Now().Before(f.until) {
 		return false
 	}
@@ -124,7 +124,7 @@
 			return nil, fmt.Errorf("discovery: %w", err)
 		}
 		p := r.addPort(ln.Addr().String())
-		p.server = &http.Server{Handler: p, ReadHeaderTimeout: headerTimeout, IdleTimeout: idleTimeout,
+		p.server = &http.Server{Handler: p, ReadHeaderTimeout: headTimeout, IdleTimeout: registryIdle,
 			MaxHeaderBytes: maxHeader}
 		p.serve(ln)
 	}
@@ -178,7 +178,7 @@
 	close(r.changed)
 	r.changed = make(chan struct{})
 	at = time.Now()
-	for _, f := range []*fault{&r.silence, &r.gone} {
+	for _, f := range []*timedFault{&r.silence, &r.gone} {
 		if f.over != nil && f.until.After(at) {
 			at = f.until
 		}
@@ -225,7 +225,7 @@
 func (r *Registry) Close() {
 	r.mu.Lock()
 	r.stopping = true
-	for _, f := range []*fault{&r.silence, &r.gone} {
+	for _, f := range []*timedFault{&r.silence, &r.gone} {
 		if f.timer != nil {
 			f.timer.Stop()
 		}
@@ -346,7 +346,8 @@
 	for over < len(l.log) && l.log[over].revision == l.oldest { // a revision is remembered whole or not
 		over++
 	}
-	l.log = append([]loggedEntry(nil), l.log[over:]...)
+	clear(l.log[:over])
+	l.log = l.log[over:]
 }
 
 // since is the answer to a watch from the revision: the latest state of what changed after it, or the whole
@@ -398,8 +399,8 @@
 	return append(body, "]}"...)
 }
 
-// answer is what a call gets.
-type answer struct {
+// registryAnswer is what a call gets.
+type registryAnswer struct {
 	body         []byte
 	whole, empty bool
 }
@@ -423,24 +424,24 @@
 }
 
 // call answers one call, which waits for something newer than the revision where it is a watch.
-func (r *Registry) call(ctx context.Context, watch bool, revision int64, wait time.Duration) (answer, error) {
+func (r *Registry) call(ctx context.Context, watch bool, revision int64, wait time.Duration) (registryAnswer, error) {
 	if err := r.heard(ctx); err != nil {
-		return answer{}, err
+		return registryAnswer{}, err
 	}
 	if err := r.queue.pass(ctx); err != nil {
 		r.heard(ctx) // a refusal waits for the end of a silence as well
-		return answer{}, err
+		return registryAnswer{}, err
 	}
 	timer := time.NewTimer(wait)
 	defer timer.Stop()
 	for over := wait <= 0; ; {
 		r.mu.Lock()
-		var a answer
+		var a registryAnswer
 		silent, changed := r.silence.over, r.changed
 		switch {
 		case silent != nil:
 		case !watch:
-			a = answer{body: r.list.all(), whole: true}
+			a = registryAnswer{body: r.list.all(), whole: true}
 		case over || revision != r.list.revision:
 			a.empty = revision == r.list.revision
 			a.body, a.whole = r.list.since(revision)
@@ -458,9 +459,9 @@
 		case <-timer.C:
 			over = true
 		case <-ctx.Done():
-			return answer{}, ctx.Err()
+			return registryAnswer{}, ctx.Err()
 		case <-r.ctx.Done():
-			return answer{}, r.ctx.Err()
+			return registryAnswer{}, r.ctx.Err()
 		}
 	}
 }
@@ -470,7 +471,7 @@
 	r      *Registry
 	addr   string
 	server *http.Server
-	count  counters
+	count  registryCounters
 
 	mu       sync.Mutex
 	listener net.Listener // nil while there is none
@@ -529,7 +530,7 @@
 		if err != nil {
 			return false, 0, 0, fmt.Errorf("wait: want milliseconds, got %q", query.Get("wait"))
 		}
-		wait = min(time.Duration(ms)*time.Millisecond, maxWait)
+		wait = min(time.Duration(ms)*time.Millisecond, maxWatchWait)
 	}
 	return true, revision, wait, nil
 }
@@ -634,8 +635,9 @@
 }
 
 func (c *countedConn) Write(b []byte) (int, error) {
+	c.port.count.bytesOut.Add(int64(len(b))) // before the other side can have read them
 	n, err := c.Conn.Write(b)
-	c.port.count.bytesOut.Add(int64(n))
+	c.port.count.bytesOut.Add(int64(n - len(b)))
 	return n, err
 }
 
--- a/internal/scale/world.go
+++ b/internal/scale/world.go
@@ -15,10 +15,10 @@
 
 // Figures of the settings (in the units of the simulator's first message) that a world's nodes are told.
 const (
-	tenantMeanRate = 1.4  // requests a second
-	sockets        = 1024 // DEPLOY: at most, on scored days
-	connIdle       = 10 * time.Second
-	zoneCells      = 4
+	tenantMeanRate  = 1.4  // requests a second
+	nodeSockets     = 1024 // DEPLOY: at most, on scored days
+	transcriberIdle = 10 * time.Second
+	zoneCells       = 4
 )
 
 const settingsEnd = `"registryMode":"subscribe",` +
@@ -69,7 +69,7 @@
 	turn     int
 }
 
-// NewWorld makes the world of a step whose transcribers all listen at the port.
+// NewWorld makes the world of a step, one that LoadPlan let pass, whose transcribers all listen at the port.
 func NewWorld(s Step, seed uint64, port int) *World {
 	w := &World{Step: s, Seed: seed, Now: time.Now}
 	rng := rand.New(rand.NewPCG(seed, 1))
@@ -77,12 +77,12 @@
 	for i := range loads {
 		loads[i] = math.Exp(rng.NormFloat64() / 2) // most services within a factor of three of the mean
 	}
-	w.serviceLoads = sums(loads)
+	w.serviceLoads = runningSums(loads)
 	quotas := make([]float64, s.Tenants)
 	for i := range quotas {
 		quotas[i] = math.Min(math.Pow(1-rng.Float64(), -1/1.5), 1000) // Pareto, index 1.5
 	}
-	w.tenantLoads = sums(quotas)
+	w.tenantLoads = runningSums(quotas)
 	scale := tenantMeanRate * float64(s.Tenants) / w.tenantLoads[s.Tenants-1]
 	for i := range w.tenantLoads {
 		w.tenantLoads[i] *= scale
@@ -141,7 +141,7 @@
 func serviceName(i int) string { return fmt.Sprintf("svc-%04d", i+1) }
 func tenantName(i int) string  { return fmt.Sprintf("t-%06d", i+1) }
 
-func sums(parts []float64) []float64 {
+func runningSums(parts []float64) []float64 {
 	all, sum := make([]float64, len(parts)), 0.0
 	for i, p := range parts {
 		sum += p
@@ -150,10 +150,10 @@
 	return all
 }
 
-// draw chooses an index in proportion to the parts that the sums were made of.
-func draw(sums []float64, rng *rand.Rand) int {
-	at := rng.Float64() * sums[len(sums)-1]
-	return min(sort.Search(len(sums), func(i int) bool { return sums[i] > at }), len(sums)-1)
+// drawIndex chooses an index in proportion to the parts that the sums were made of.
+func drawIndex(runningSums []float64, rng *rand.Rand) int {
+	at := rng.Float64() * runningSums[len(runningSums)-1]
+	return min(sort.Search(len(runningSums), func(i int) bool { return runningSums[i] > at }), len(runningSums)-1)
 }
 
 // Members is the list at the start, which is revision 1. It is not to be written to.
@@ -206,7 +206,7 @@
 	all := make([]byte, 0, len(known)+len(tail)+1024)
 	all = fmt.Appendf(all, `{"name":"n%d","listen":%q,"discovery":%q,"seed":"%016x",`+
 		`"limits":{"cores":1.0,"memory_mb":%d,"sockets":%d},"known":`, node, listen, discovery,
-		rand.NewPCG(w.Seed, uint64(node)).Uint64(), memoryMB, sockets)
+		rand.NewPCG(w.Seed, uint64(node)).Uint64(), memoryMB, nodeSockets)
 	all = append(append(all, known...), `,"settings":`...)
 	all = append(w.appendHead(all, node), tail...)
 	return append(all, '}'), nil
@@ -238,5 +238,5 @@
 
 // Request chooses a class, in proportion to uneven loads, and a tenant, in proportion to the quotas.
 func (w *World) Request(rng *rand.Rand) (class, tenant string) {
-	return serviceName(draw(w.serviceLoads, rng)), tenantName(draw(w.tenantLoads, rng))
+	return serviceName(drawIndex(w.serviceLoads, rng)), tenantName(drawIndex(w.tenantLoads, rng))
 }
