--- a/internal/scale/hollow.go
+++ b/internal/scale/hollow.go
@@ -284,15 +284,20 @@
 		begin := time.Now()
 		for i := range a.count() {
 			time.Sleep(time.Until(begin.Add(time.Duration((float64(i) + 0.5) / a.Rate * float64(time.Second)))))
-			s.mu.Lock()
-			revision, at := s.reg.Change(s.world.NextChange(s.rng))
-			s.changes = append(s.changes, revisionAt{revision, at.UnixNano()})
-			s.mu.Unlock()
+			s.change(func() []Entry { return s.world.NextChange(s.rng) })
 		}
 	}()
 	return nil
 }
 
+// change makes one change of what next returns.
+func (s *registryService) change(next func() []Entry) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	revision, at := s.reg.Change(next())
+	s.changes = append(s.changes, revisionAt{revision, at.UnixNano()})
+}
+
 // Changes answers with the changes made since the start.
 func (s *registryService) Changes(_ struct{}, all *[]revisionAt) error {
 	s.mu.Lock()
@@ -313,9 +318,14 @@
 	return nil
 }
 
-// Fail carries out a fault of discovery.
-func (s *registryService) Fail(f Fault, _ *struct{}) error {
+// Fail carries out a fault of discovery, or a zone's loss: that takes until it is back, and answers with how many
+// changes it made.
+func (s *registryService) Fail(f Fault, changes *int) error {
 	switch f.Kind {
+	case ZoneLost:
+		begin := time.Now()
+		*changes = s.moveZone(begin, f.Over.Duration, s.world.loseLastZone)
+		*changes += s.moveZone(begin.Add(f.For.Duration), f.Over.Duration, s.world.restoreLastZone)
 	case DiscoverySilent:
 		go s.reg.Silence(f.For.Duration)
 	case DiscoveryGone:
@@ -324,6 +334,25 @@
 	return nil
 }
 
+// moveZone makes each entry that step returns a change, evenly over a time; or all of them one change. It returns
+// how many changes it made.
+func (s *registryService) moveZone(begin time.Time, over time.Duration, step func(i int) []Entry) int {
+	n := 1
+	if over > 0 {
+		n = s.world.lastZoneSize()
+	}
+	for i := range n {
+		time.Sleep(time.Until(begin.Add(over * time.Duration(i) / time.Duration(n))))
+		s.change(func() []Entry {
+			if over > 0 {
+				return step(i)
+			}
+			return step(-1)
+		})
+	}
+	return n
+}
+
 // TranscribersArgs starts the stand-ins for transcribers.
 type TranscribersArgs struct {
 	Step Step
--- a/internal/scale/plan.go
+++ b/internal/scale/plan.go
@@ -56,7 +56,8 @@
 type Fault struct {
 	At   Duration  `toml:"at"`
 	Kind FaultKind `toml:"kind"`
-	For  Duration  `toml:"for"`  // how long discovery is silent or gone
+	For  Duration  `toml:"for"`  // how long discovery is silent or gone, or a zone lost
+	Over Duration  `toml:"over"` // the time in which a zone's entries go, and come back, one by one; 0: in one change
 	Part float64   `toml:"part"` // of the nodes that a wave restarts
 }
 
@@ -68,6 +69,7 @@
 	RestartWave     FaultKind = "restart-wave"     // nodes end and start anew, all at once
 	DiscoverySilent FaultKind = "discovery-silent" // calls and watches get no answer
 	DiscoveryGone   FaultKind = "discovery-gone"   // connections are reset, new ones refused
+	ZoneLost        FaultKind = "zone-lost"        // the list loses the last zone's entries, and gets them back as started anew
 )
 
 // Duration is a time.Duration that reads the form of time.ParseDuration, such as "1.5s".
@@ -261,10 +263,11 @@
 		if !(f.Part > 0 && f.Part <= 1) {
 			b.fail(at+"part", "more than 0 and 1 at most", f.Part)
 		}
-	case DiscoverySilent, DiscoveryGone:
+	case DiscoverySilent, DiscoveryGone, ZoneLost:
 		b.span(at+"for", f.For, time.Millisecond, total)
+		b.span(at+"over", f.Over, 0, f.For.Duration)
 	default:
-		b.fail(at+"kind", fmt.Sprintf("%s, %s or %s", RestartWave, DiscoverySilent, DiscoveryGone),
+		b.fail(at+"kind", fmt.Sprintf("%s, %s, %s or %s", RestartWave, DiscoverySilent, DiscoveryGone, ZoneLost),
 			fmt.Sprintf("%q", f.Kind))
 	}
 }
--- a/internal/scale/plan_test.go
+++ b/internal/scale/plan_test.go
@@ -56,7 +56,7 @@
 		{minimalPlan + `quiet = "4m51s"`, "step[0].loaded: want more than 0s and 5m0s at most together with quiet, got 5m1s"},
 		{minimalPlan + `quiet = "-1s"`, "step[0].quiet: want 0s to 5m0s, got -1s"},
 		{minimalPlan + "requests_per_second = nan", "step[0].requests_per_second: want 0 to 100000 a second, got NaN"},
-		{minimalPlan + "[[step.fault]]\nkind = \"rain\"", `step[0].fault[0].kind: want restart-wave, discovery-silent or discovery-gone, got "rain"`},
+		{minimalPlan + "[[step.fault]]\nkind = \"rain\"", `step[0].fault[0].kind: want restart-wave, discovery-silent, discovery-gone or zone-lost, got "rain"`},
 		{minimalPlan + "[[step.fault]]\nkind = \"restart-wave\"\npart = 1.5", "step[0].fault[0].part: want more than 0 and 1 at most, got 1.5"},
 		{minimalPlan + "[[step.fault]]\nkind = \"discovery-gone\"", "step[0].fault[0].for: want 1ms to 20s, got 0s"},
 		{minimalPlan + "[[step.fault]]\nkind = \"restart-wave\"\npart = 1\nat = \"21s\"", "step[0].fault[0].at: want 0s to 20s, got 21s"},
--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -128,6 +128,7 @@
 	mu       sync.Mutex
 	children []*child
 	again    *hdrhistogram.Histogram // from a restart to ready, in microseconds
+	faulty   int                     // changes that faults have made
 }
 
 // snapshot is what has been spent and sent up to a time.
@@ -193,8 +194,11 @@
 }
 
 func (f Fault) text() string {
-	if f.Kind == RestartWave {
+	switch f.Kind {
+	case RestartWave:
 		return fmt.Sprintf("%s of %g of the nodes at %v", f.Kind, f.Part, f.At.Duration)
+	case ZoneLost:
+		return fmt.Sprintf("%s over %v and back after %v at %v", f.Kind, f.Over.Duration, f.For.Duration, f.At.Duration)
 	}
 	return fmt.Sprintf("%s for %v at %v", f.Kind, f.For.Duration, f.At.Duration)
 }
@@ -583,7 +587,7 @@
 		if err := r.registry.call(ctx, "Child.Changes", struct{}{}, &changes); err != nil {
 			return err
 		}
-		if len(changes) >= r.changing().count() {
+		if len(changes) >= r.changing().count()+r.faulty {
 			break
 		}
 		if err := sleep(ctx, lookEvery); err != nil {
@@ -685,7 +689,12 @@
 // carryOut makes something go wrong.
 func (r *stepRun) carryOut(ctx context.Context, f Fault) error {
 	if f.Kind != RestartWave {
-		return r.registry.call(ctx, "Child.Fail", f, nil)
+		changes := 0
+		err := r.registry.call(ctx, "Child.Fail", f, &changes)
+		r.mu.Lock()
+		defer r.mu.Unlock()
+		r.faulty += changes
+		return err
 	}
 	failed := make(chan error, len(r.real)+len(r.hollow))
 	for _, c := range r.hollow {
--- a/internal/scale/world.go
+++ b/internal/scale/world.go
@@ -236,6 +236,47 @@
 	return []Entry{old, *e}
 }
 
+// lastZone are the indexes of the last zone's entries, whose places in the list stay.
+func (w *World) lastZone() (all []int) {
+	name := zoneName(w.Step.Zones - 1)
+	for i, e := range w.current {
+		if e.Locality == name {
+			all = append(all, i)
+		}
+	}
+	return all
+}
+
+func (w *World) lastZoneSize() int { return len(w.lastZone()) }
+
+// loseLastZone returns the last zone's i-th entry as removed, or all of them for -1. It and restoreLastZone are for
+// the caller of NextChange, which meanwhile may bring single ones back.
+func (w *World) loseLastZone(i int) []Entry {
+	return w.ofLastZone(i, func(e *Entry) Entry {
+		gone := *e
+		gone.Phase = phaseRemoved
+		return gone
+	})
+}
+
+// restoreLastZone returns them as started anew.
+func (w *World) restoreLastZone(i int) []Entry {
+	now := w.Now().UnixMilli()
+	return w.ofLastZone(i, func(e *Entry) Entry {
+		e.Phase, e.UpSinceMS = phaseUp, now
+		return *e
+	})
+}
+
+func (w *World) ofLastZone(i int, as func(*Entry) Entry) (all []Entry) {
+	for at, index := range w.lastZone() {
+		if i < 0 || at == i {
+			all = append(all, as(&w.current[index]))
+		}
+	}
+	return all
+}
+
 // Request chooses a class, in proportion to uneven loads, and a tenant, in proportion to the quotas.
 func (w *World) Request(rng *rand.Rand) (class, tenant string) {
 	return serviceName(drawIndex(w.serviceLoads, rng)), tenantName(drawIndex(w.tenantLoads, rng))
--- a/internal/scale/world_test.go
+++ b/internal/scale/world_test.go
@@ -237,3 +237,42 @@
 		b.SetBytes(int64(len(raw)))
 	}
 }
+
+// A lost zone's entries go one by one or together, all of them, and come back as started anew.
+func TestLastZoneGoesAndComesBack(t *testing.T) {
+	s := Step{Nodes: 6, Services: 7, Transcribers: 40, Tenants: 5, Zones: 3}
+	for _, together := range []bool{true, false} {
+		w := NewWorld(s, 1, 9000)
+		w.Now = func() time.Time { return time.UnixMilli(1234) }
+		collect := func(step func(int) []Entry) (all []Entry) {
+			if together {
+				return step(-1)
+			}
+			for i := range w.lastZoneSize() {
+				one := step(i)
+				if len(one) != 1 {
+					t.Fatalf("entry %d: %d entries", i, len(one))
+				}
+				all = append(all, one...)
+			}
+			return all
+		}
+		want := make(map[string]bool)
+		for _, e := range w.Members() {
+			if e.Locality == "z03" {
+				want[e.ID] = true
+			}
+		}
+		for phase, step := range map[string]func(int) []Entry{phaseRemoved: w.loseLastZone, phaseUp: w.restoreLastZone} {
+			got := collect(step)
+			if len(got) != len(want) || len(want) == 0 {
+				t.Errorf("%s: %d entries, want %d", phase, len(got), len(want))
+			}
+			for _, e := range got {
+				if !want[e.ID] || e.Phase != phase || phase == phaseUp && e.UpSinceMS != 1234 {
+					t.Errorf("%s: %+v", phase, e)
+				}
+			}
+		}
+	}
+}
