Give each tenant of the settings its bucket, and forget buckets that are full again

A node kept the first 4,096 buckets that it ever made, and all later tenants shared one: who came late was refused within its share. A bucket that is full again tells nothing that a new one would not, so each admission looks at three buckets in turn and forgets those that are full: no walk on a request, and the full ones that are still kept settle at half of those in use. Tenants of the settings always have a bucket of their own; 4,096 bounds the names that clients make up, and the rest of those share one as before.

Full is reckoned at the least pace that there is (0.3), not at the present one: a cut between the forgetting and the tenant's next request would hand out tokens that the old bucket hadn't refilled, and the random test shows it. So a bucket is kept up to 3.3 times longer than it takes to fill. Beside that a whole token's time must have gone by, lest the refill time differ.

A successor is told of as many buckets as before, the empty ones first: what it is told is written four times a second, and would grow past the 4 MiB that are read of it.

Not taken: a queue by the time at which a bucket is full. Each admission moves that time, and a heap costs more than three looks. The map of buckets keeps the room of its peak, which is Go's; the buckets themselves go.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -79,7 +79,7 @@
 	rateWindow = time.Second // of limits made from quotas; also the retry-after of a quota of zero
 	burst      = 0.5         // seconds of a quota's rate in its bucket: the bursts within a share
 	minBurst   = 3           // tokens, so that a sliver of a quota still passes a few at once
-	maxBuckets = 4096        // where clients name tenants freely; the rest share one bucket
+	maxBuckets = 4096        // of tenants that clients name freely; the rest of those share one bucket
 	// refillLoss makes up for the fractions lost in whole-token refill, which let Poisson arrivals pass
 	// only up to ln 2 of the rate. Far above it 1/(1/r + 1/a) still passes, of refill r and arrivals a.
 	refillLoss = 1 / math.Ln2
@@ -93,6 +93,11 @@
 	}
 }
 
+// refilled tells whether k is full whatever the pace becomes: a new bucket in its place does the same.
+func (k *bucket) refilled(now Time, least float64, burst int64) bool {
+	return math.Floor((now-k.last).Seconds()*least) >= float64(max(1, burst-k.tokens))
+}
+
 // perSecond is the refill rate of a limit.
 func (l Limit) perSecond() float64 {
 	if l.Window <= 0 {
@@ -131,20 +136,25 @@
 	return l, key, ok
 }
 
+// mayOwn tells whether a bucket under key may be kept: of a tenant of the settings always, of others so many.
+func (b *Balancer) mayOwn(key bucketKey) bool {
+	return key == (bucketKey{}) || b.known(key.tenant) || b.lookedAt.unknown < maxBuckets
+}
+
 // admit takes a token, or says how long the client should wait.
 func (b *Balancer) admit(tenant, class string) (bool, time.Duration) {
 	l, key, ok := b.limitFor(tenant, class)
 	if !ok {
 		return true, 0
 	}
+	b.forgetRefilled()
 	l.PerWindow *= b.pace
-	if b.buckets[key] == nil && len(b.buckets) >= maxBuckets {
+	if b.buckets[key] == nil && !b.mayOwn(key) {
 		key = bucketKey{}
 	}
 	k := b.buckets[key]
 	if k == nil {
-		k = &bucket{tokens: l.Burst, last: b.now}
-		b.buckets[key] = k
+		k = b.keep(key, l.Burst, b.now)
 	}
 	k.refill(b.now, l.perSecond(), l.Burst)
 	if k.tokens <= 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -23,6 +23,7 @@
 	ranked    []*class // in the order of the settings
 	other     *Limit   // for tenants without a quota; nil: no limit
 	buckets   map[bucketKey]*bucket
+	lookedAt  bucketRing
 	pace      float64 // scale of all bucket rates
 	trust     float64 // scale of the thresholds of servers that other nodes mostly use
 	ease      float64 // scale of what this node may have out where nodes are many, by late answers
@@ -119,14 +120,6 @@
 	idle   int // octave of the time that its connection was idle; 0 for one in use
 }
 
-type bucketKey struct{ tenant, class string }
-
-// bucket holds whole tokens and the time they were last added.
-type bucket struct {
-	tokens int64
-	last   Time
-}
-
 // watch is one attempt to look at when it has been out for long.
 type watch struct {
 	req     *request
@@ -233,11 +226,7 @@
 
 // Remember is what a successor of this node should know.
 func (b *Balancer) Remember(now Time) Memory {
-	m := Memory{Pace: b.pace, Busy: b.busy, Rates: maps.Clone(b.rates)}
-	for key, k := range b.buckets {
-		m.Buckets = append(m.Buckets, BucketMemory{Tenant: key.tenant, Class: key.class, Tokens: k.tokens,
-			Age: now - k.last})
-	}
+	m := Memory{Pace: b.pace, Busy: b.busy, Rates: maps.Clone(b.rates), Buckets: b.rememberBuckets(now)}
 	for _, s := range b.order {
 		l := ServerMemory{Server: s.Server, Threshold: s.threshold, Felt: s.felt, Latency: s.latency,
 			Faults: s.faults, Takes: s.takes, ColdLevel: s.cold.tokens, Score: s.health.score,
@@ -264,8 +253,8 @@
 	}
 	for _, k := range m.Buckets {
 		l, key, ok := b.limitFor(k.Tenant, k.Class)
-		if ok && key == (bucketKey{k.Tenant, k.Class}) && len(b.buckets) < maxBuckets {
-			b.buckets[key] = &bucket{tokens: min(l.Burst, max(0, k.Tokens)), last: now - max(0, k.Age) - max(0, ago)}
+		if ok && key == (bucketKey{k.Tenant, k.Class}) && b.mayOwn(key) {
+			b.keep(key, min(l.Burst, max(0, k.Tokens)), now-max(0, k.Age)-max(0, ago))
 		}
 	}
 	b.succeeds = len(m.Servers) > 0
