Read lists as a stream, and bound them by the node's memory

A whole list of 39,000 entries on lines of their own is longer than the 8 MiB that a node took, so it was refused each time. Lists are now read entry by entry: an entry's text is held, not the list's. The bound is a quarter of memory_mb (32 MiB of 128 MB): what is kept of an ordinary entry needs about as many bytes as its text (39,000 entries, 9.0 MB of text: 6.5 MB kept), and while a list is taken in there are two, and the slice that grows.

What is read is as before: one bad entry, anything after the end and a list cut off anywhere make it bad as a whole, and errors name the field, now with the entry's number for wrong types as well. The time for a body bounds the wait for its bytes alone: with the parser between two reads, a busy node would take a long list for silence.

Not taken: a greater figure in place of 8 MiB. It would be the next one to be met, and hold the text besides.

--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -6,8 +6,11 @@
 	"io"
 	"net/http"
 	"net/http/httptest"
+	"runtime"
 	"strings"
+	"sync/atomic"
 	"testing"
+	"testing/synctest"
 	"time"
 
 	"cobaltward/policy"
@@ -138,6 +141,135 @@
 	}
 }
 
+// wholeList is a list of n entries as an operator's tool may print it, each on lines of its own.
+func wholeList(n int) string {
+	var b strings.Builder
+	b.WriteString("{\n  \"revision\": 9,\n  \"complete\": true,\n  \"members\": [")
+	for i := range n {
+		fmt.Fprintf(&b, `%.*s
+    {
+      "id": "t-%05d-0a1b2c",
+      "host_port": "10.%d.%d.%d:9000",
+      "locality": "zone-%d",
+      "flavor": "kind-%04d",
+      "cell": %d,
+      "phase": "up",
+      "size": 1,
+      "up_since_ms": 1764633600000
+    }`, min(i, 1), ",", i, i>>16, i>>8&255, i&255, i%6, i%1300, i/30)
+	}
+	b.WriteString("\n  ]\n}\n")
+	return b.String()
+}
+
+// A list is as long as what it tells of. One that is longer than there is memory for isn't taken.
+func TestLongListsAreTaken(t *testing.T) {
+	const servers = 39000
+	raw := wholeList(servers)
+	if len(raw) <= maxListSize {
+		t.Fatalf("a list of %d bytes shows nothing", len(raw))
+	}
+	for _, c := range []struct {
+		most int64
+		want string // of the error
+	}{{int64(len(raw)), ""}, {int64(len(raw) - 1), "the list is over"}, {0, "the list is over"}} {
+		addr := httpServer(t, func(w http.ResponseWriter, _ *http.Request) { _, _ = io.WriteString(w, raw) })
+		d := New(Config{Addr: addr, Nodes: 1, MaxListSize: c.most}, func(News) {})
+		l, err := d.watch(t.Context(), &listCall{limit: time.Hour, body: time.Hour})
+		if c.want != "" {
+			if err == nil || !strings.Contains(err.Error(), c.want) {
+				t.Errorf("at most %d bytes: got %v, want %q", c.most, err, c.want)
+			}
+		} else if err != nil || len(l.Members) != servers || l.Revision != 9 || !l.Complete {
+			t.Errorf("%d entries, revision %d, complete %v, %v", len(l.Members), l.Revision, l.Complete, err)
+		}
+	}
+}
+
+// The text of a list isn't held beside what is kept of it: longer text of the same entries costs no memory.
+func TestListsAreReadAsTheyCome(t *testing.T) {
+	read := func(raw string) uint64 {
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		if _, err := readList(strings.NewReader(raw)); err != nil {
+			t.Fatal(err)
+		}
+		runtime.ReadMemStats(&after)
+		return after.TotalAlloc - before.TotalAlloc
+	}
+	raw := wholeList(200)
+	spaced := strings.ReplaceAll(raw, "    {", strings.Repeat(" ", 2000)+"{")
+	if short, long := read(raw), read(spaced); long > short+uint64(len(spaced)-len(raw))/4 {
+		t.Errorf("a list of %d bytes took %d, one of %d bytes with the same entries %d", len(raw), short, len(spaced), long)
+	}
+}
+
+// A list that was cut off anywhere, or goes on after its end, is no list: what is missing might be a drain.
+func TestListsAreReadWholeOrNotAtAll(t *testing.T) {
+	good := `{"revision":3,"note":{"a":[1,"}"]},"complete":true,"members":[` + entry("a", "up") + `, ` + entry("b", "removed") + `]}`
+	if l, err := ParseList([]byte(good + " \n")); err != nil || len(l.Members) != 2 {
+		t.Fatalf("%+v, %v", l, err)
+	}
+	for i := range good {
+		if l, err := ParseList([]byte(good[:i])); err == nil {
+			t.Errorf("cut off after %q: got %+v", good[:i], l)
+		}
+	}
+	for _, raw := range []string{good + "x", good + "{}", good + "]", good + "null", "null", `""`, `{"revision":3,}`,
+		`{"revision":3,"members":[` + entry("a", "up") + `,]}`, `{"revision":3,"members":[` + entry("a", "up") + `}`,
+		`{"revision":3,"members":{}}`, `{"revision":3 "members":[]}`, `{"revision":3,"members":[[]]}`} {
+		if l, err := ParseList([]byte(raw)); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("%s: got %+v, %v, want one line on what is wrong", raw, l, err)
+		}
+	}
+	for raw, want := range map[string]string{
+		`{"revision":1,"members":[{"id":7}]}`:                            "members[0].id: want string, got number",
+		`{"revision":1,"members":[` + entry("a", "up") + `,"b"]}`:        "members[1]: want object, got string",
+		`{"revision":1,"members":7}`:                                     "members: want array, got number",
+		`{"revision":1,"members":[` + entry("a", "up") + `,{"id":"b"`:    "members[1]: unexpected EOF",
+		`{"revision":1,"complete":"yes"}`:                                "complete: want bool, got string",
+		delta(1, entry("a", "up"), `{"id":"b","phase":"up","cell":"x"}`): "members[1].cell",
+	} {
+		if _, err := ParseList([]byte(raw)); err == nil || !strings.Contains(err.Error(), want) {
+			t.Errorf("%s: got %v, want it to name %q", raw, err, want)
+		}
+	}
+}
+
+type readerFunc func(p []byte) (int, error)
+
+func (f readerFunc) Read(p []byte) (int, error) { return f(p) }
+
+// What a busy node takes to read a list isn't discovery's silence; what it waits for the bytes is, over all of them.
+func TestOnlyTheWaitForBytesIsBounded(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		var ended atomic.Bool
+		limit := time.AfterFunc(time.Second, func() { ended.Store(true) })
+		slow := readerFunc(func(p []byte) (int, error) { time.Sleep(200 * time.Millisecond); return len(p), nil })
+		r := &timedReader{from: slow, left: 500 * time.Millisecond, limit: limit}
+		for i, want := range []bool{false, false, true} {
+			if _, err := r.Read(make([]byte, 1)); err != nil {
+				t.Fatal(err)
+			}
+			time.Sleep(time.Hour)
+			if ended.Load() != want {
+				t.Errorf("after %d reads of 200 ms each the call is ended: %v, want %v", i+1, !want, want)
+			}
+		}
+	})
+}
+
+func BenchmarkWholeList(b *testing.B) {
+	raw := wholeList(39000)
+	b.ReportAllocs()
+	b.SetBytes(int64(len(raw)))
+	for b.Loop() {
+		if _, err := readList(strings.NewReader(raw)); err != nil {
+			b.Fatal(err)
+		}
+	}
+}
+
 // A move ends the call in flight and its connection, and asks the new address for everything: its
 // revisions need not compare with those of the old one. Two in a row end on the newest.
 func TestMoveAsksTheNewAddressForTheWholeList(t *testing.T) {
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -40,9 +40,15 @@
 func (c Config) following() discovery.Config {
 	return discovery.Config{Addr: c.Discovery, Subscribe: c.Settings.Subscribe, Revision: c.Known.Revision,
 		Node: c.Settings.Node, Nodes: c.Settings.Nodes, Seed: c.Seed,
-		DrainGrace: c.Settings.Rules.DrainGrace, AskWithin: c.Settings.Rules.AskWithin}
+		DrainGrace: c.Settings.Rules.DrainGrace, AskWithin: c.Settings.Rules.AskWithin,
+		MaxListSize: c.MemoryMB << 20 / listPart}
 }
 
+// listPart is the part of the node's memory that the text of a list may be as long as. What is kept of an
+// ordinary entry needs about as many bytes as its text, and while a whole list is taken in there are two, and the
+// slice that grows under the new one: a longer one would end the node.
+const listPart = 4
+
 // leastSockets is what a node can work with at all: a few for itself, and some for each side.
 const leastSockets = 64
 
