Log counts of tenants and classes at the start, and only servers that matter later

A node wrote a line for each tenant and class at its start, and a summary of all servers in service each 5 s: at 39,000 servers in 1,300 services and 130,000 tenants that was nearly all of its log. Two lines now say how many there are, the shortest and longest aim and deadline, and the sum, smallest and largest quota, with their names; up to 32 classes or tenants are named one by one as before. A summary tells of 200 servers at most: of the ended attempts, those with most bad ends, then with most ends; of the module, those that have attempts out, answered in the last 5 s or are ejected. How many are left out is told. Of 200 servers or fewer the line is as it was.

Not taken: the first so many tenants or servers. They would be the same ones each time, and tell nothing of the rest.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -45,12 +45,7 @@
 	most := int(clientsPart * float64(c.Sockets-own))
 	up := newUpstream(c, c.Sockets-own-most)
 	defer up.close()
-	for _, class := range c.Settings.Classes {
-		slog.Info("class", "name", class.Name, "aim", class.Aim, "deadline", class.Deadline)
-	}
-	for _, t := range c.Settings.Tenants {
-		slog.Info("tenant", "name", t.Name, "quota_rps", t.Quota)
-	}
+	logSettings(c.Settings)
 	slog.Info("limits", "nodes", c.Settings.Nodes, "max_open", c.MaxOpen, "connect_timeout", c.ConnectTimeout,
 		"connection_idle", c.Settings.Allowed.ConnIdle, "max_retry_after", c.Settings.Allowed.MaxRetryAfter,
 		"client_sockets", most, "server_sockets", up.most)
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"cmp"
 	"context"
 	"fmt"
 	"log/slog"
@@ -19,6 +20,11 @@
 	// not drown the log, nor cost the node its core, nor one frequent end hide the rare ones. What is
 	// left out is counted.
 	linesPerSecond = 10
+	// mostServers bounds the servers that a summary tells of: those with the most bad ends, then with the most ends.
+	mostServers = 200
+	// mostNames bounds the classes and the tenants that are logged one by one at the start; of more, only what they
+	// come to.
+	mostNames = 32
 )
 
 // trace is what the log tells of requests: a line for one that ended badly, with its whole history, and
@@ -137,19 +143,75 @@
 }
 
 // ended tells for each server how many attempts ended and how many of them well, how long those took in the
-// mean, and its last load report.
+// mean, and its last load report. Of many servers it leaves out those that matter least, and says how many.
 func (t *trace) ended() string {
 	var b strings.Builder
-	for i, id := range slices.Sorted(maps.Keys(t.servers)) {
+	ids := slices.Sorted(maps.Keys(t.servers))
+	more := len(ids) - mostServers
+	if more > 0 {
+		slices.SortStableFunc(ids, func(x, y string) int {
+			s, o := t.servers[x], t.servers[y]
+			return cmp.Or(cmp.Compare(o.ended-o.ok, s.ended-s.ok), cmp.Compare(o.ended, s.ended))
+		})
+		ids = ids[:mostServers]
+		slices.Sort(ids)
+	}
+	for i, id := range ids {
 		if i > 0 {
 			b.WriteByte(' ')
 		}
 		s := t.servers[id]
 		fmt.Fprintf(&b, "%s=%d/%d/%.0fms%.3g", id, s.ended, s.ok, s.took.Seconds()*1e3/float64(max(1, s.ok)), s.report)
 	}
+	if more > 0 {
+		fmt.Fprintf(&b, " left_out=%d", more)
+	}
 	return b.String()
 }
 
+// logSettings tells the log what the classes and tenants of the settings come to; each of them only where they
+// are few, for the log of a large site must not be its list of tenants.
+func logSettings(set policy.Settings) {
+	if n := len(set.Classes); n > 0 {
+		least, most := set.Classes[0], set.Classes[0] // by aim
+		shortest, longest := least.Deadline, least.Deadline
+		for _, c := range set.Classes {
+			if n <= mostNames {
+				slog.Info("class", "name", c.Name, "aim", c.Aim, "deadline", c.Deadline)
+			}
+			if c.Aim < least.Aim {
+				least = c
+			}
+			if c.Aim > most.Aim {
+				most = c
+			}
+			shortest, longest = min(shortest, c.Deadline), max(longest, c.Deadline)
+		}
+		slog.Info("classes", "count", n, "shortest_aim", least.Aim, "shortest_aim_class", least.Name,
+			"longest_aim", most.Aim, "longest_aim_class", most.Name, "shortest_deadline", shortest, "longest_deadline", longest)
+	}
+	if n := len(set.Tenants); n > 0 {
+		least, most, sum, none := set.Tenants[0], set.Tenants[0], 0.0, 0
+		for _, t := range set.Tenants {
+			if n <= mostNames {
+				slog.Info("tenant", "name", t.Name, "quota_rps", t.Quota)
+			}
+			if sum += t.Quota; t.Quota == 0 {
+				none++
+			}
+			if t.Quota < least.Quota {
+				least = t
+			}
+			if t.Quota > most.Quota {
+				most = t
+			}
+		}
+		slog.Info("tenants", "count", n, "quota_rps_sum", sum, "smallest_quota_rps", least.Quota,
+			"smallest_quota_tenant", least.Name, "largest_quota_rps", most.Quota, "largest_quota_tenant", most.Name,
+			"without_quota", none)
+	}
+}
+
 // summary writes the counts since the last one, and what the module goes by.
 func (t *trace) summary(open, clients, evicted int, state string) {
 	slog.Info("summary", "clients", clients, "evicted", evicted, "arrived", t.arrived, "served", t.served, "refused", t.refused, "failed", t.failed,
--- a/internal/node/trace_test.go
+++ b/internal/node/trace_test.go
@@ -3,8 +3,10 @@
 import (
 	"bytes"
 	"errors"
+	"fmt"
 	"log/slog"
 	"net/http"
+	"slices"
 	"strings"
 	"testing"
 	"time"
@@ -67,3 +69,57 @@
 		t.Errorf("the next second's line is missing: %d lines", n)
 	}
 }
+
+// The log of a large site isn't its list of tenants; that of a small one names them all.
+func TestSettingsAreLoggedInAFewLines(t *testing.T) {
+	set := policy.Settings{}
+	for i := range 1300 {
+		set.Classes = append(set.Classes, policy.Class{Name: fmt.Sprint("c", i), Aim: time.Duration(100+i) * time.Millisecond,
+			Deadline: time.Duration(2+i%3) * time.Second})
+	}
+	for i := range 130000 {
+		set.Tenants = append(set.Tenants, policy.Tenant{Name: fmt.Sprint("t", i), Quota: float64(i % 5)})
+	}
+	log := captureLog(t)
+	logSettings(set)
+	if n := strings.Count(log.String(), "\n"); n != 2 {
+		t.Errorf("%d lines, want 2", n)
+	}
+	for _, want := range []string{"msg=classes count=1300 shortest_aim=100ms shortest_aim_class=c0 longest_aim=1.399s longest_aim_class=c1299 " +
+		"shortest_deadline=2s longest_deadline=4s", "msg=tenants count=130000 quota_rps_sum=260000 smallest_quota_rps=0 " +
+		"smallest_quota_tenant=t0 largest_quota_rps=4 largest_quota_tenant=t4 without_quota=26000"} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("the log lacks %q:\n%s", want, log)
+		}
+	}
+	log.Reset()
+	logSettings(policy.Settings{Classes: set.Classes[:3], Tenants: set.Tenants[:2]})
+	for _, want := range []string{"msg=class name=c2 aim=102ms deadline=4s", "msg=tenant name=t1 quota_rps=1", "count=2"} {
+		if !strings.Contains(log.String(), want) {
+			t.Errorf("the log lacks %q:\n%s", want, log)
+		}
+	}
+}
+
+// Of many servers a summary tells those that went wrong and those that did most, and how many it leaves out.
+func TestSummaryOfManyServersIsBounded(t *testing.T) {
+	var tr trace
+	tr.servers = make(map[string]*served)
+	for i := range 39000 {
+		tr.servers[fmt.Sprintf("s%05d", i)] = &served{ended: 1, ok: 1}
+	}
+	tr.servers["s20000"] = &served{ended: 3, ok: 1}
+	tr.servers["s30000"] = &served{ended: 2, ok: 2}
+	got := strings.Fields(tr.ended())
+	if len(got) != mostServers+1 || got[mostServers] != fmt.Sprint("left_out=", 39000-mostServers) {
+		t.Errorf("%d words, the last %q", len(got), got[len(got)-1])
+	}
+	for _, want := range []string{"s20000=3/1/0ms[]", "s30000=2/2/0ms[]", "s00000=1/1/0ms[]"} {
+		if !slices.Contains(got, want) {
+			t.Errorf("%s is left out", want)
+		}
+	}
+	if !slices.IsSorted(got[1:mostServers]) {
+		t.Error("not in the order of ids")
+	}
+}
--- a/policy/state.go
+++ b/policy/state.go
@@ -170,18 +170,40 @@
 // seconds turns a number of seconds into a Duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+const (
+	mostTold = 200             // servers in the log's line; where there are more, those that matter and no more than these
+	usedFor  = 5 * time.Second // after its last answer a server matters, which is as often as the line is written
+)
+
 // String tells what the decisions go by, in one line for the log: bucket pace, the parts that errors are
-// weighed by, and for each server in service its attempts out, threshold and breaker.
+// weighed by, and for each server in service its attempts out, threshold and breaker. Of many servers it tells
+// only those that have attempts out, answered lately or are ejected, and how many it leaves out.
 func (b *Balancer) String() string {
 	var t strings.Builder
 	fmt.Fprintf(&t, "pace=%.2f bad=%.2f full=%.2f lost=%.2f blame=%.2f held=%d extra=%d", b.pace, b.bad,
 		b.fullPart, b.lost, b.blame, len(b.held), len(b.extra))
+	told, idle, more, out := 0, 0, 0, 0
 	for _, s := range b.order {
+		switch {
+		case len(b.order) <= mostTold:
+		case s.inflight == 0 && !s.health.out && (s.lastDone == 0 || b.now-s.lastDone > usedFor):
+			idle++
+			continue
+		case told == mostTold:
+			if more++; s.health.out {
+				out++
+			}
+			continue
+		}
+		told++
 		fmt.Fprintf(&t, " %s=%d/%.1f", s.Server, s.inflight, b.limit(s))
 		if s.health.out {
 			t.WriteString("/out")
 		}
 	}
+	if len(b.order) > told {
+		fmt.Fprintf(&t, " left_out=%d idle=%d out=%d", idle+more, idle, out)
+	}
 	return t.String()
 }
 
--- a/policy/state_test.go
+++ b/policy/state_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -128,3 +129,39 @@
 		}
 	}
 }
+
+// The log's line names every server of a small fleet, and of a large one those that matter.
+func TestLogLineOfManyServersIsBounded(t *testing.T) {
+	small := start(t, site(1), members(mostTold))
+	if got := small.String(); strings.Count(got, "=0/") != mostTold || strings.Contains(got, "left_out") {
+		t.Errorf("of %d servers: %s", mostTold, got)
+	}
+	b := start(t, site(1), members(39000))
+	b.now = time.Hour
+	if got := b.String(); !strings.HasSuffix(got, " extra=0 left_out=39000 idle=39000 out=0") {
+		t.Errorf("with nothing to do: %s", got)
+	}
+	b.order[10000].inflight = 2
+	b.order[20000].health.out = true
+	b.order[30000].lastDone = b.now - usedFor
+	b.order[30001].lastDone = b.now - usedFor - 1
+	got := b.String()
+	for i, want := range map[int]string{10000: "=2/6.0 ", 20000: "=0/6.0/out ", 30000: "=0/6.0 "} {
+		if !strings.Contains(got, " "+b.order[i].Server+want) {
+			t.Errorf("server %d is left out: %s", i, got)
+		}
+	}
+	if !strings.HasSuffix(got, " left_out=38997 idle=38997 out=0") {
+		t.Errorf("the end is %q", got[max(0, len(got)-80):])
+	}
+	for _, s := range b.order {
+		s.health.out = true
+	}
+	got = b.String()
+	if n := strings.Count(got, "/out"); n != mostTold || len(got) > 30*mostTold {
+		t.Errorf("%d servers in %d bytes, want %d", n, len(got), mostTold)
+	}
+	if !strings.HasSuffix(got, " left_out=38800 idle=0 out=38800") {
+		t.Errorf("the end is %q", got[max(0, len(got)-80):])
+	}
+}
