Read the configuration once, as a stream

At 1,300 services, 39,000 known servers and 130,000 tenants the file is 17 MB, and a start took over 300 MB: the file, copies of known and settings, a tree of all settings, a second parse for two limits, and a policy.New thrown away. The file is now read entry by entry, as lists are, and so it is at SIGHUP. What of the settings is not services or tenants is kept until the node's own limits are read from it. Settings.Validate is what New checks, without the state that New makes, and the table of tenants is made at its size.

What is refused is what was, also at SIGHUP: a file with one bad field is bad as a whole. Errors name the field as before; of several faults another one may be named, since known and settings are read where they stand. Settings that are cut off are now an unexpected EOF and not "not JSON", and the test asks for that and for more fields.

Not taken: at SIGHUP, to read the address of discovery and skip the rest. It would take up a file that a start refuses.

--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -3,12 +3,15 @@
 package node
 
 import (
+	"bytes"
 	"encoding/json"
 	"errors"
 	"fmt"
+	"io"
 	"math"
 	"os"
 	"strconv"
+	"strings"
 	"time"
 
 	"cobaltward/internal/discovery"
@@ -103,11 +106,12 @@
 	if path == "" {
 		return Config{}, errors.New("ROUTER_CONFIG: not set")
 	}
-	raw, err := os.ReadFile(path)
+	f, err := os.Open(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
 	}
-	c, err := ParseConfig(raw)
+	defer f.Close()
+	c, err := DecodeConfig(f)
 	if err != nil {
 		return Config{}, fmt.Errorf("configuration: %w", err)
 	}
@@ -115,54 +119,79 @@
 }
 
 // ParseConfig reads a configuration file's text. Errors name the field.
-func ParseConfig(raw []byte) (Config, error) {
-	var f struct {
-		Name      string `json:"name"`
-		Listen    string `json:"listen"`
-		Discovery string `json:"discovery"`
-		Operator  string `json:"operator"`
-		Seed      string `json:"seed"`
-		Limits    struct {
-			Cores    float64 `json:"cores"`
-			MemoryMB float64 `json:"memory_mb"`
-			Sockets  int     `json:"sockets"`
-		} `json:"limits"`
-		Known    json.RawMessage `json:"known"`
-		Settings json.RawMessage `json:"settings"`
+func ParseConfig(raw []byte) (Config, error) { return DecodeConfig(bytes.NewReader(raw)) }
+
+// DecodeConfig is ParseConfig of a stream. The text may be many times as long as what is kept of it, so it is read
+// once and no more than an entry of it is held.
+func DecodeConfig(file io.Reader) (Config, error) {
+	var c Config
+	var seedText string
+	var limits struct {
+		Cores    float64 `json:"cores"`
+		MemoryMB float64 `json:"memory_mb"`
+		Sockets  int     `json:"sockets"`
+	}
+	var known, settings bool
+	var rest []byte // of the settings
+	from := json.NewDecoder(file)
+	err := field.Object(from, func(key string) (err error) {
+		switch strings.ToLower(key) { // as json.Unmarshal finds them
+		case "name":
+			return field.Decode(from, key, &c.Name)
+		case "listen":
+			return field.Decode(from, key, &c.Listen)
+		case "discovery":
+			return field.Decode(from, key, &c.Discovery)
+		case "operator":
+			return field.Decode(from, key, &c.Operator)
+		case "seed":
+			return field.Decode(from, key, &seedText)
+		case "limits":
+			return field.Decode(from, key, &limits)
+		case "known":
+			known = true
+			if c.Known, err = discovery.DecodeList(from); err != nil {
+				return fmt.Errorf("known: %w", err)
+			}
+			return nil
+		case "settings":
+			settings = true
+			if c.Settings, rest, err = wire.DecodeSettings(from); err != nil {
+				return fmt.Errorf("settings.%w", err)
+			}
+			return nil
+		}
+		return field.Decode(from, key, new(json.RawMessage))
+	})
+	if err == nil {
+		err = field.End(from)
 	}
-	if err := field.Unmarshal(raw, &f); err != nil {
+	if err != nil {
 		return Config{}, err
 	}
-	seed, err := strconv.ParseUint(f.Seed, 16, 64)
-	if err != nil {
-		return Config{}, fmt.Errorf("seed: want up to 16 hexadecimal digits, got %q", f.Seed)
+	if c.Seed, err = strconv.ParseUint(seedText, 16, 64); err != nil {
+		return Config{}, fmt.Errorf("seed: want up to 16 hexadecimal digits, got %q", seedText)
 	}
-	switch l := f.Limits; {
+	switch l := limits; {
 	case !(l.Cores > 0) || l.Cores > 1024:
 		return Config{}, fmt.Errorf("limits.cores: want more than 0, got %v", l.Cores)
 	case !(l.MemoryMB >= 1) || l.MemoryMB > math.MaxInt32:
 		return Config{}, fmt.Errorf("limits.memory_mb: want 1 or more, got %v", l.MemoryMB)
 	case l.Sockets < leastSockets:
 		return Config{}, fmt.Errorf("limits.sockets: want %d or more, got %d", leastSockets, l.Sockets)
+	case !known:
+		return Config{}, errors.New("known: missing")
+	case !settings:
+		return Config{}, errors.New("settings: missing")
 	}
-	c := Config{Name: f.Name, Listen: f.Listen, Discovery: f.Discovery, Operator: f.Operator, Seed: seed,
-		Cores: f.Limits.Cores, MemoryMB: int64(f.Limits.MemoryMB), Sockets: f.Limits.Sockets}
-	for name, field := range map[string]json.RawMessage{"known": f.Known, "settings": f.Settings} {
-		if len(field) == 0 {
-			return Config{}, fmt.Errorf("%s: missing", name)
-		}
-	}
-	if c.Known, err = discovery.ParseList(f.Known); err != nil {
-		return Config{}, fmt.Errorf("known: %w", err)
-	}
-	if c.Settings, err = wire.ParseSettings(f.Settings); err != nil {
-		return Config{}, fmt.Errorf("settings.%w", err)
-	}
-	if _, err := policy.New(c.Settings, 0, 0); err != nil { // the module checks what it is given
+	c.Cores, c.MemoryMB, c.Sockets = limits.Cores, int64(limits.MemoryMB), limits.Sockets
+	if err := c.Settings.Validate(); err != nil {
 		return Config{}, fmt.Errorf("settings: %w", err)
 	}
-	err = nodeLimits(f.Settings, &c)
-	return c, err
+	if err := nodeLimits(rest, &c); err != nil {
+		return Config{}, err
+	}
+	return c, nil
 }
 
 // nodeLimits reads those settings that the module leaves to its host.
--- a/internal/node/config_test.go
+++ b/internal/node/config_test.go
@@ -1,8 +1,10 @@
 package node
 
 import (
+	"fmt"
 	"os"
 	"path/filepath"
+	"runtime"
 	"strings"
 	"testing"
 	"time"
@@ -67,3 +69,47 @@
 		}
 	}
 }
+
+// The text of a configuration isn't held beside what is kept of it: longer text of the same costs no memory.
+func TestConfigIsReadAsAStream(t *testing.T) {
+	var members, tenants []string
+	for i := range 500 {
+		members = append(members, fmt.Sprintf(`PAD{"id":"s%d","host_port":"127.0.0.1:9","phase":"up"}`, i))
+		tenants = append(tenants, fmt.Sprintf(`PAD{"name":"t%d","quotaRps":1}`, i))
+	}
+	text := strings.NewReplacer("KNOWN", `{"revision":1,"complete":true,"members":[`+strings.Join(members, ",")+`]}`, "SETTINGS",
+		`{"position":0,"groupSize":1,"services":[{"name":"x","deadline":600}],"tenants":[`+strings.Join(tenants, ",")+`]}`).Replace(goodConfig)
+	read := func(pad int) (size, took uint64) {
+		raw := []byte(strings.ReplaceAll(text, "PAD", strings.Repeat(" ", pad)))
+		var before, after runtime.MemStats
+		runtime.ReadMemStats(&before)
+		c, err := ParseConfig(raw)
+		runtime.ReadMemStats(&after)
+		if err != nil || len(c.Known.Members) != 500 || len(c.Settings.Tenants) != 500 {
+			t.Fatalf("%d members, %d tenants, %v", len(c.Known.Members), len(c.Settings.Tenants), err)
+		}
+		return uint64(len(raw)), after.TotalAlloc - before.TotalAlloc
+	}
+	short, costs := read(0)
+	if long, more := read(2000); more > costs+(long-short)/4 {
+		t.Errorf("%d bytes of text took %d, and %d bytes of the same %d", short, costs, long, more)
+	}
+}
+
+// What was cut off anywhere, or goes on after its end, is no configuration.
+func TestConfigIsReadWholeOrNotAtAll(t *testing.T) {
+	good := strings.NewReplacer("KNOWN", knownList("127.0.0.1:9"), "SETTINGS", testSettings).Replace(goodConfig)
+	if _, err := ParseConfig([]byte(good + "\n")); err != nil {
+		t.Fatal(err)
+	}
+	for i := range good {
+		if _, err := ParseConfig([]byte(good[:i])); err == nil || strings.Contains(err.Error(), "\n") {
+			t.Errorf("cut off after %q: %v", good[:i], err)
+		}
+	}
+	for _, more := range []string{"x", "{}", "}", "null"} {
+		if _, err := ParseConfig([]byte(good + more)); err == nil {
+			t.Errorf("%q after the end is taken", more)
+		}
+	}
+}
--- a/internal/wire/settings.go
+++ b/internal/wire/settings.go
@@ -1,12 +1,14 @@
 package wire
 
 import (
+	"encoding/json"
 	"fmt"
 	"math"
 	"time"
 
 	"github.com/valyala/fastjson"
 
+	"cobaltward/internal/field"
 	"cobaltward/policy"
 )
 
@@ -124,16 +126,61 @@
 	worths = map[string]bool{"": false, "request": false, "work": true}
 )
 
-// ParseSettings reads the settings object on its own, as a node's configuration holds it.
-func ParseSettings(raw []byte) (policy.Settings, error) {
-	v, err := fastjson.ParseBytes(raw)
+// DecodeSettings reads the settings object from a stream, where a node's configuration holds it. It also returns the
+// object's text but for services and tenants, which may be many and are held one at a time.
+func DecodeSettings(from *json.Decoder) (policy.Settings, []byte, error) {
+	var classes []policy.Class
+	var tenants []policy.Tenant
+	var one fastjson.Parser
+	var raw json.RawMessage // the text of one, in the same place each time
+	entry := func(array string, i int, do func(object)) error {
+		if err := field.DecodeEntry(from, array, i, &raw); err != nil {
+			return err
+		}
+		v, err := one.ParseBytes(raw)
+		if err != nil {
+			return fmt.Errorf("%s[%d]: not JSON: %w", array, i, firstLine(err))
+		}
+		at := fmt.Sprintf("%s[%d]", array, i)
+		if v.Type() != fastjson.TypeObject {
+			return fmt.Errorf("%s: want object, got %s", at, v.Type())
+		}
+		do(object{v: v, path: at + ".", err: &err})
+		return err
+	}
+	rest := []byte{'{'}
+	err := field.Object(from, func(key string) error {
+		switch key {
+		case "services":
+			return field.Array(from, key, func(i int) error {
+				return entry(key, i, func(o object) { classes = append(classes, class(o)) })
+			})
+		case "tenants":
+			return field.Array(from, key, func(i int) error {
+				return entry(key, i, func(o object) { tenants = append(tenants, tenant(o)) })
+			})
+		}
+		if err := field.Decode(from, key, &raw); err != nil {
+			return err
+		}
+		if len(rest) > 1 {
+			rest = append(rest, ',')
+		}
+		name, err := json.Marshal(key)
+		rest = append(append(append(rest, name...), ':'), raw...)
+		return err
+	})
 	if err != nil {
-		return policy.Settings{}, fmt.Errorf("not JSON: %w", firstLine(err))
+		return policy.Settings{}, nil, err
 	}
-	if v.Type() != fastjson.TypeObject {
-		return policy.Settings{}, fmt.Errorf("want an object, got %s", v.Type())
+	rest = append(rest, '}')
+	v, err := one.ParseBytes(rest)
+	if err != nil {
+		return policy.Settings{}, nil, fmt.Errorf("not JSON: %w", firstLine(err))
 	}
-	return settings(v)
+	set, err := settings(v)
+	set.Classes, set.Tenants = classes, tenants
+	return set, rest, err
 }
 
 // settings reads the object of a configure message.
@@ -145,18 +192,8 @@
 		Subscribe: word(o, "registryMode", modes),
 		WarmKeys:  o.sub("familyInfo").flag("warmKeys"), WorthByWork: word(o, "worthBy", worths),
 	}
-	o.each("services", func(c object) {
-		s.Classes = append(s.Classes, policy.Class{
-			Name: c.str("name"), Aim: c.ms("aim"), AimStretch: c.num("aimStretch"), Deadline: c.ms("deadline"),
-			Repeat: word(c, "repeat", repeats), Group: word(c, "group", groups), Window: c.ms("window"),
-			LateWorth: c.num("lateWorth"), Worth: c.num("value"), Stream: c.flag("stream"),
-			Kinds: c.strs("servedOn"), Zones: c.strs("localitiesOnly"),
-		})
-	})
-	o.each("tenants", func(t object) {
-		s.Tenants = append(s.Tenants, policy.Tenant{
-			Name: t.str("name"), Quota: t.num("quotaRps"), Share: t.num("fraction")})
-	})
+	o.each("services", func(c object) { s.Classes = append(s.Classes, class(c)) })
+	o.each("tenants", func(t object) { s.Tenants = append(s.Tenants, tenant(t)) })
 	lim := o.sub("limits")
 	s.Allowed = policy.Allowed{
 		Cancel: lim.flag("cancelling"), Hedge: lim.flag("secondCopies"), Probe: lim.flag("probes"),
@@ -174,6 +211,19 @@
 	return s, err
 }
 
+func class(o object) policy.Class {
+	return policy.Class{
+		Name: o.str("name"), Aim: o.ms("aim"), AimStretch: o.num("aimStretch"), Deadline: o.ms("deadline"),
+		Repeat: word(o, "repeat", repeats), Group: word(o, "group", groups), Window: o.ms("window"),
+		LateWorth: o.num("lateWorth"), Worth: o.num("value"), Stream: o.flag("stream"),
+		Kinds: o.strs("servedOn"), Zones: o.strs("localitiesOnly"),
+	}
+}
+
+func tenant(o object) policy.Tenant {
+	return policy.Tenant{Name: o.str("name"), Quota: o.num("quotaRps"), Share: o.num("fraction")}
+}
+
 // budget reads the rule on further attempts, which holds where any of its figures is present.
 func budget(g object) *policy.Budget {
 	number := fastjson.TypeNumber
--- a/internal/wire/wire_test.go
+++ b/internal/wire/wire_test.go
@@ -1,6 +1,7 @@
 package wire
 
 import (
+	"encoding/json"
 	"reflect"
 	"strings"
 	"testing"
@@ -99,7 +100,7 @@
 // A node's configuration holds the settings on their own; they read the same.
 func TestParsesSettingsAlone(t *testing.T) {
 	const conf = `{"position":1,"groupSize":4,"services":[{"name":"x","deadline":600,"repeat":"free"}]}`
-	got, err := ParseSettings([]byte(conf))
+	got, rest, err := DecodeSettings(json.NewDecoder(strings.NewReader(conf)))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -107,8 +108,15 @@
 	if want := decode(t, &d, `["configure",2,7,`+conf+`]`).Settings; !reflect.DeepEqual(got, want) {
 		t.Errorf("got %+v\nwant %+v", got, want)
 	}
-	for raw, want := range map[string]string{`{`: "not JSON", `[]`: "want an object", `{"zone":1}`: "zone"} {
-		if _, err := ParseSettings([]byte(raw)); err == nil || !strings.Contains(err.Error(), want) {
+	if want := `{"position":1,"groupSize":4}`; string(rest) != want {
+		t.Errorf("the rest is %s, want %s", rest, want)
+	}
+	for raw, want := range map[string]string{`{`: "unexpected EOF", `[]`: "want an object", `{"zone":1}`: "zone",
+		`{"services":7}`: "services: want array, got number", `{"tenants":[{},7]}`: "tenants[1]: want object, got number",
+		`{"tenants":[{},{"quotaRps":"x"}]}`:  "tenants[1].quotaRps: want number, got string",
+		`{"services":[{"repeat":"always"}]}`: `services[0].repeat: unknown word "always"`,
+		`{"services":[{}`:                    "services: unexpected EOF", `{"limits":{"maxAttempts":0.5}}`: "limits.maxAttempts: want a whole number"} {
+		if _, _, err := DecodeSettings(json.NewDecoder(strings.NewReader(raw))); err == nil || !strings.Contains(err.Error(), want) {
 			t.Errorf("%s: got %v, want it to name %q", raw, err, want)
 		}
 	}
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -16,12 +16,12 @@
 
 // New returns a node's decisions for the given settings. The seed drives its random choices.
 func New(set Settings, now Time, seed uint64) (*Balancer, error) {
-	if err := validate(set); err != nil {
+	if err := set.Validate(); err != nil {
 		return nil, err
 	}
 	b := &Balancer{
 		set: set, now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))),
-		classes: make(map[string]*class), tenants: make(map[string]Limit),
+		classes: make(map[string]*class), tenants: make(map[string]Limit, len(set.Tenants)),
 		buckets: make(map[bucketKey]*bucket), pace: 1, trust: 1, blame: 1, ease: 1, trials: trialMost, processes: 1,
 		rates:   make(map[string]float64),
 		servers: make(map[string]*server), reqs: make(map[string]*request), budget: defaultBudget,
--- a/policy/settings.go
+++ b/policy/settings.go
@@ -6,8 +6,8 @@
 	"math"
 )
 
-// validate says which of the settings makes no sense, if one does.
-func validate(set Settings) error {
+// Validate says which of the settings makes no sense, if one does. New refuses such settings as well.
+func (set Settings) Validate() error {
 	if len(set.Classes) == 0 {
 		return errors.New("classes: there are none")
 	}
