--- a/policy/state.go
+++ b/policy/state.go
@@ -23,6 +23,7 @@
 	ranked    []*class // in the order of the settings
 	other     *Limit   // for tenants without a quota; nil: no limit
 	buckets   map[bucketKey]*bucket
+	lookedAt  bucketRing
 	pace      float64 // scale of all bucket rates
 	trust     float64 // scale of the thresholds of servers that other nodes mostly use
 	ease      float64 // scale of what this node may have out where nodes are many, by late answers
@@ -119,14 +120,6 @@
 	idle   int // octave of the time that its connection was idle; 0 for one in use
 }
 
-type bucketKey struct{ tenant, class string }
-
-// bucket holds whole tokens and the time they were last added.
-type bucket struct {
-	tokens int64
-	last   Time
-}
-
 // watch is one attempt to look at when it has been out for long.
 type watch struct {
 	req     *request
@@ -177,18 +170,40 @@
 // seconds turns a number of seconds into a Duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+const (
+	mostTold = 200             // servers in the log's line; where there are more, those that matter and no more than these
+	usedFor  = 5 * time.Second // after its last answer a server matters, which is as often as the line is written
+)
+
 // String tells what the decisions go by, in one line for the log: bucket pace, the parts that errors are
-// weighed by, and for each server in service its attempts out, threshold and breaker.
+// weighed by, and for each server in service its attempts out, threshold and breaker. Of many servers it tells
+// only those that have attempts out, answered lately or are ejected, and how many it leaves out.
 func (b *Balancer) String() string {
 	var t strings.Builder
 	fmt.Fprintf(&t, "pace=%.2f bad=%.2f full=%.2f lost=%.2f blame=%.2f held=%d extra=%d", b.pace, b.bad,
 		b.fullPart, b.lost, b.blame, len(b.held), len(b.extra))
+	told, idle, more, out := 0, 0, 0, 0
 	for _, s := range b.order {
+		switch {
+		case len(b.order) <= mostTold:
+		case s.inflight == 0 && !s.health.out && (s.lastDone == 0 || b.now-s.lastDone > usedFor):
+			idle++
+			continue
+		case told == mostTold:
+			if more++; s.health.out {
+				out++
+			}
+			continue
+		}
+		told++
 		fmt.Fprintf(&t, " %s=%d/%.1f", s.Server, s.inflight, b.limit(s))
 		if s.health.out {
 			t.WriteString("/out")
 		}
 	}
+	if len(b.order) > told {
+		fmt.Fprintf(&t, " left_out=%d idle=%d out=%d", idle+more, idle, out)
+	}
 	return t.String()
 }
 
@@ -233,11 +248,7 @@
 
 // Remember is what a successor of this node should know.
 func (b *Balancer) Remember(now Time) Memory {
-	m := Memory{Pace: b.pace, Busy: b.busy, Rates: maps.Clone(b.rates)}
-	for key, k := range b.buckets {
-		m.Buckets = append(m.Buckets, BucketMemory{Tenant: key.tenant, Class: key.class, Tokens: k.tokens,
-			Age: now - k.last})
-	}
+	m := Memory{Pace: b.pace, Busy: b.busy, Rates: maps.Clone(b.rates), Buckets: b.rememberBuckets(now)}
 	for _, s := range b.order {
 		l := ServerMemory{Server: s.Server, Threshold: s.threshold, Felt: s.felt, Latency: s.latency,
 			Faults: s.faults, Takes: s.takes, ColdLevel: s.cold.tokens, Score: s.health.score,
@@ -264,8 +275,8 @@
 	}
 	for _, k := range m.Buckets {
 		l, key, ok := b.limitFor(k.Tenant, k.Class)
-		if ok && key == (bucketKey{k.Tenant, k.Class}) && len(b.buckets) < maxBuckets {
-			b.buckets[key] = &bucket{tokens: min(l.Burst, max(0, k.Tokens)), last: now - max(0, k.Age) - max(0, ago)}
+		if ok && key == (bucketKey{k.Tenant, k.Class}) && b.mayOwn(key) {
+			b.keep(key, min(l.Burst, max(0, k.Tokens)), now-max(0, k.Age)-max(0, ago))
 		}
 	}
 	b.succeeds = len(m.Servers) > 0
