--- a/internal/scale/module.go
+++ b/internal/scale/module.go
@@ -1,8 +1,10 @@
 package scale
 
 import (
+	"bytes"
 	"container/heap"
 	"context"
+	"encoding/json"
 	"fmt"
 	"math/rand/v2"
 	"runtime"
@@ -105,7 +107,7 @@
 	if err != nil {
 		return policy.Settings{}, err
 	}
-	set, err := wire.ParseSettings(raw)
+	set, _, err := wire.DecodeSettings(json.NewDecoder(bytes.NewReader(raw)))
 	if err != nil {
 		return policy.Settings{}, fmt.Errorf("settings.%w", err)
 	}
--- a/internal/scale/world_test.go
+++ b/internal/scale/world_test.go
@@ -135,7 +135,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		s, err := wire.ParseSettings(raw)
+		s, _, err := wire.DecodeSettings(json.NewDecoder(bytes.NewReader(raw)))
 		if err != nil {
 			t.Fatal(err)
 		}
