Let an event cost what it changes, not what the node knows of

Cause: a changed entry sorted all ids and walked services x servers, every ejection counted all servers of all classes, a request walked all servers for the crowd limit, and a fault sorted all servers' faults. At 1,300 services and 39,000 transcribers the loop stood still for a second at each changed entry.

Change: index.go holds the servers in service. Classes of one binding share a pool; its two parts (own zone, others) lie in id order in chunks of at most 512, and all pools are walked from where the fleet's walk begins, so each keeps the fleet's order. What all servers of a kind in a zone have alike (pools, safest class) is worked out once. Counts of ejected servers, of zones and of the crowd's attempts move with each change; a heap holds the moments at which time alone changes them. Two heaps hold the median of the faults. A whole list goes along the last one's order instead of looking each id up. One rule that was implicit is written down now: a class that isn't in the settings makes no trials where every class that is has servers of its own.

Tests: after events of 40 random worlds every index is held against plain walks; parts against sorted ids over 20,000 changes; entries looked at and bytes allocated are counted at both sizes. Tests that set a server's health or last answer by hand now say so to the index.

Not taken: a tree for the fleet, as chunks need no balance and are walked in memory order; the sum of chunks' lengths for the place where walks begin, which grows with the fleet; leaving out warm servers in the walk for cold ones, as it stays within the service's servers.

--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1,12 +1,11 @@
 // Every decision of cobaltward, in the order in which a request lives: admission, choice, attempts,
 // outcomes, health, cold start, list. The interface (settings, events, actions) is in api.go, the
-// state that is kept in state.go.
+// state that is kept in state.go, and the indexes of the servers in index.go.
 
 package policy
 
 import (
 	"cmp"
-	"maps"
 	"math"
 	"math/bits"
 	"math/rand/v2"
@@ -25,6 +24,7 @@
 		buckets: make(map[bucketKey]*bucket), pace: 1, trust: 1, blame: 1, ease: 1, trials: trialMost, processes: 1,
 		rates:   make(map[string]float64),
 		servers: make(map[string]*server), reqs: make(map[string]*request), budget: defaultBudget,
+		index: newIndex(),
 	}
 	if set.Rules.Attempts != nil {
 		b.budget = *set.Rules.Attempts
@@ -33,8 +33,9 @@
 		if c.Aim == 0 {
 			c.Aim = c.Deadline
 		}
-		b.ranked = append(b.ranked, &class{Class: c, index: i, open: &b.pool, tail: c.Aim / 2})
+		b.ranked = append(b.ranked, &class{Class: c, index: i, tail: c.Aim / 2})
 		b.classes[c.Name] = b.ranked[i]
+		b.bind(b.ranked[i])
 	}
 	b.other = set.Limits.Default
 	for _, t := range set.Tenants { // a tenant that nobody agreed a share with counts as the smallest
@@ -161,7 +162,7 @@
 	}
 	c := b.classes[e.Class]
 	if c == nil { // not in the settings: one safe try, never repeated
-		c = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, index: -1, open: &b.pool}
+		c = &class{Class: Class{Aim: e.ExpiresIn, LateWorth: 1}, index: -1, open: &b.fleet}
 	}
 	r := &request{id: e.ID, class: c, deadline: b.now + e.ExpiresIn}
 	aim := c.Aim + time.Duration(c.AimStretch*float64(e.Hint)) - c.gone(e)
@@ -280,7 +281,7 @@
 		}
 	}
 	// Few of many walks reach a cold server, but all nodes have a part in its budget.
-	for _, s := range r.class.open.order {
+	for s := range b.walk(r.class.open) {
 		if b.ramp(s) < 1 && b.usable(r, s) && b.hasRoom(s) {
 			return s, true
 		}
@@ -289,7 +290,7 @@
 		return nil, false
 	}
 	var least *server
-	for _, s := range r.class.open.order {
+	for s := range b.walk(r.class.open) {
 		if !b.usable(r, s) {
 			continue
 		}
@@ -314,8 +315,7 @@
 		return best
 	}
 	var most [keyHomes]uint64
-	open := r.class.open
-	for _, s := range open.order[:open.zoned] {
+	for s := range b.walkOwn(r.class.open) {
 		h := (r.key ^ s.hash) * hashPrime
 		for i := range best {
 			if s != nil && (best[i] == nil || h > most[i]) {
@@ -343,7 +343,7 @@
 	case !b.set.WarmKeys:
 		return 1
 	case s.own:
-		return min(1, startShared*float64(b.zones)/float64(b.set.Nodes))
+		return min(1, startShared*float64(len(b.zones))/float64(b.set.Nodes))
 	default:
 		return min(1, startOthers/float64(b.set.Nodes))
 	}
@@ -361,17 +361,14 @@
 	if !b.many() {
 		return false
 	}
-	out, warm := 0, 0.0
-	for _, s := range b.order {
-		if b.ramp(s) >= 1 && !s.health.out {
-			out += b.holds(s)
-			warm++
-		}
-	}
+	out, warm := b.crowd()
 	spare := min(1, max(0, (busyFull-b.busy)/(busyFull-busyFrom)))
-	return float64(out) >= max(1, b.ease*(1+spare*(crowdLimit-1))*startFew*warm/float64(b.set.Nodes))
+	return float64(out) >= max(1, b.ease*(1+spare*(crowdLimit-1))*startFew*float64(warm)/float64(b.set.Nodes))
 }
 
+// crowds tells whether s counts among the servers that this node may have its part of attempts out at.
+func (b *Balancer) crowds(s *server) bool { return b.ramp(s) >= 1 && !s.health.out }
+
 // crowding sets attempts in flight against what s was seen to take, lest one that others fill look idle.
 func (b *Balancer) crowding(s *server) float64 { return float64(b.holds(s)+1) / b.limit(s) }
 
@@ -450,6 +447,7 @@
 func (b *Balancer) learn(s *server, c *class, code Code, latency time.Duration) {
 	step, fault := 0.0, code.fault()
 	track(&s.faults, faultGain, fault)
+	b.rank(s)
 	switch {
 	case fault:
 		b.compare()
@@ -487,14 +485,8 @@
 // compare sets faults against the median server's: what all have alike, none of them is to blame for.
 // Unweighed it would close one threshold after the other, and eject at random.
 func (b *Balancer) compare() {
-	var parts []float64
-	for _, s := range b.order {
-		if s.lastDone > 0 {
-			parts = append(parts, s.faults)
-		}
-	}
-	if slices.Sort(parts); len(parts) > 0 {
-		b.blame = max(blameLeast, 1-parts[(len(parts)-1)/2]/faultCommon)
+	if s := b.median(); s != nil {
+		b.blame = max(blameLeast, 1-s.faults/faultCommon)
 	}
 }
 
@@ -581,6 +573,7 @@
 		s.busyFrom = b.now
 	}
 	s.inflight++
+	b.recount(s)
 	s.use(b.now)
 	s.lastSend = b.now
 	s.cold.tokens--
@@ -784,6 +777,7 @@
 	a.server.use(b.now)
 	a.server.inflight--
 	a.server.haunt(r, a, e.Code)
+	b.recount(a.server)
 	b.report(a.server, e.Report)
 	r.settle()
 	b.observe(r, a, e)
@@ -886,8 +880,8 @@
 	case h.out && a.trial && code == OK:
 		b.trials = min(trialMost, b.trials+1) // it cost nobody anything
 		if h.trials++; h.hung || h.trials >= trialsNeeded {
+			b.setOut(s, false)
 			*h, s.threshold = health{}, b.start(s)
-			b.countEjected()
 		}
 	case h.out && a.trial: // full too: a hung server turns away what it has no room for
 		if code.fault() && b.blame < 1 { // it may be well, so it is not put off for longer each time
@@ -918,8 +912,8 @@
 // mayEject keeps the cap on ejections for each class by itself: the few servers that one may be bound
 // to are not all taken out while the fleet as a whole looks well.
 func (b *Balancer) mayEject(s *server) bool {
-	for _, c := range b.ranked {
-		if c.permits(s) && float64(c.open.ejected+1) > maxEjected*float64(len(c.open.order)) {
+	for _, p := range s.group.pools {
+		if p.named && float64(p.ejected+1) > maxEjected*float64(p.len()) {
 			return false
 		}
 	}
@@ -934,31 +928,21 @@
 		h.times = 0
 	}
 	span := min(ejectMost, ejectFirst<<min(h.times, 10))
-	h.out, h.hung, h.until, h.trials, h.times = true, hung, b.now+span, 0, h.times+1
-	b.countEjected()
-}
-
-func (b *Balancer) countEjected() {
-	for _, c := range b.ranked {
-		c.open.ejected = 0
-		for _, s := range c.open.order {
-			if s.health.out {
-				c.open.ejected++
-			}
-		}
-	}
+	h.hung, h.until, h.trials, h.times = hung, b.now+span, 0, h.times+1
+	b.setOut(s, true)
 }
 
 // trial returns an ejected server whose time is up, if r can safely try it out: of the classes that
-// the server is open to, one that may be repeated most freely.
+// the server is open to, one that may be repeated most freely. A class that isn't in the settings makes no
+// trials where each that is has servers of its own.
 func (b *Balancer) trial(r *request) *server {
 	open := r.class.open
-	if open.ejected == 0 || len(r.attempts) > 0 || b.trials < 1 {
+	if !open.named || open.ejected == 0 || len(r.attempts) > 0 || b.trials < 1 {
 		return nil
 	}
-	for _, s := range open.order {
+	for s := range b.walk(open) {
 		h := &s.health
-		if h.out && !h.trialOut && b.now >= h.until && r.class.Repeat >= s.safest && b.coldRoom(s) {
+		if h.out && !h.trialOut && b.now >= h.until && r.class.Repeat >= s.group.safest && b.coldRoom(s) {
 			h.trialOut = true
 			b.trials--
 			return s
@@ -1016,7 +1000,7 @@
 	if part >= 1 {
 		return true
 	}
-	mean := b.doneRate() / float64(max(1, len(b.order)))
+	mean := b.doneRate() / float64(max(1, b.fleet.len()))
 	if rate, ok := b.rates[s.Kind]; ok {
 		mean = rate / float64(b.set.Nodes)
 	}
@@ -1070,110 +1054,93 @@
 			b.askLater(0, min(b.askWithin()*2/3, time.Duration(b.set.Nodes)*askApart))
 		}
 	}
-	if e.Kind != ListUpdate { // what a full list lacks is gone
-		old := b.servers
-		b.servers = make(map[string]*server, len(e.Members))
-		for _, m := range e.Members {
-			if s := old[m.Server]; s != nil {
-				b.servers[m.Server] = s
-			}
-		}
-		for id, s := range old {
-			if b.servers[id] == nil {
-				s.Availability = Removed
-			}
-		}
+	whole := e.Kind != ListUpdate
+	if whole {
+		b.startRoll(len(e.Members))
 	}
+	var entering []*server
 	for _, m := range e.Members {
-		b.listed(m)
+		if s := b.listed(m); s != nil {
+			entering = append(entering, s)
+		}
 	}
-	b.reorder()
+	if whole { // what a full list lacks is gone
+		for _, s := range b.endRoll() {
+			b.drop(s)
+		}
+	}
+	b.reorder(entering)
 	b.release()
 }
 
-// listed takes over one entry of the list.
-func (b *Balancer) listed(m Member) {
-	s := b.servers[m.Server]
+// listed takes over one entry of the list. It returns the server if that has to find its place anew.
+func (b *Balancer) listed(m Member) *server {
+	s := b.find(m.Server)
 	if m.Availability == Removed {
-		if delete(b.servers, m.Server); s != nil {
-			s.Availability = Removed
+		if s != nil {
+			b.drop(s)
 		}
-		return
+		return nil
 	}
 	if s == nil || s.OnlineSince != m.OnlineSince { // new, or a new process: forget the old one
+		if s != nil {
+			b.forget(s)
+		}
 		s = &server{latency: b.set.Classes[0].Aim.Seconds() / 4, hash: hash(m.Server)}
 		// A random part of a token, so that nodes who hear of a cold server together don't all send.
 		s.cold = coldBudget{tokens: b.rng.Float64(), last: b.now}
 		b.servers[m.Server] = s
+	} else if _, told := b.recalled[m.Server]; s.Member == m && !told {
+		b.enrol(s)
+		return nil
 	}
+	b.enrol(s)
+	b.leave(s)
 	s.Member = m
+	s.group = b.groupOf(s)
+	s.Kind, s.Zone = s.group.kind, s.group.zone // one string for all of a group
 	b.recall(s)
+	return s
+}
+
+// drop forgets a server that is gone; attempts that are out there still end.
+func (b *Balancer) drop(s *server) {
+	b.forget(s)
+	s.Availability = Removed
 }
 
-// reorder rebuilds the packing order: own zone first, since crossing costs, then by id. Draining
-// servers are left out at once, well within the grace of the third rule.
-func (b *Balancer) reorder() {
-	var own, others []*server
-	zones := make(map[string]bool)
-	for _, id := range slices.Sorted(maps.Keys(b.servers)) {
-		s := b.servers[id]
-		switch {
-		case s.Availability != Running:
+// reorder brings servers to their places in the packing order: own zone first, since crossing costs, then
+// by id, each part from where this node's walk begins. Draining servers are left out at once, well within
+// the grace of the third rule. New ones draw their start in packing order, once all have a place.
+func (b *Balancer) reorder(entering []*server) {
+	slices.SortFunc(entering, func(x, y *server) int { return cmp.Compare(x.Server, y.Server) })
+	var fresh []*server
+	for _, s := range entering {
+		if s.in || s.gone || s.Availability != Running { // listed more than once
 			continue
-		case s.Zone == b.set.Zone:
-			own = append(own, s)
-		default:
-			others = append(others, s)
 		}
-		zones[s.Zone] = true
-	}
-	b.order = append(b.stagger(own), b.stagger(others)...)
-	b.zoned, b.zones = len(own), len(zones)
-	b.place()
-	for i, s := range b.order {
-		s.own = i < len(own)
+		b.enter(s)
 		if s.threshold == 0 {
-			s.threshold = b.start(s)
-			s.lastSend = b.now - seconds(b.rng.Float64()*s.latency/s.threshold)
+			fresh = append(fresh, s)
 		}
 	}
-	b.countEjected()
-}
-
-// place lays down which servers each bound class is open to, in packing order.
-func (b *Balancer) place() {
-	for _, s := range b.order {
-		s.safest = Never
-	}
-	for _, c := range b.ranked {
-		bound := len(c.Kinds)+len(c.Zones) > 0
-		if bound {
-			c.open = &pool{}
-		}
-		for i, s := range b.order {
-			if !c.permits(s) {
-				continue
-			}
-			s.safest = max(s.safest, c.Repeat)
-			if bound {
-				c.open.order = append(c.open.order, s)
-				if i < b.zoned {
-					c.open.zoned++
-				}
-			}
-		}
+	b.fleet.own.turn(b.stagger(b.fleet.own.n))
+	b.fleet.others.turn(b.stagger(b.fleet.others.n))
+	slices.SortFunc(fresh, b.packed)
+	for _, s := range fresh {
+		s.threshold = b.start(s)
+		s.lastSend = b.now - seconds(b.rng.Float64()*s.latency/s.threshold)
 	}
 }
 
 func (b *Balancer) staggered() bool { return b.set.Nodes > manyNodes }
 
-// stagger turns a part of the order so that this node's walk begins at its own place in it, where
-// nodes are many. Steps of the golden ratio lie evenly whichever of the nodes share a zone.
-func (b *Balancer) stagger(part []*server) []*server {
+// stagger is where in a part of n servers this node's walk begins: at its own place, where nodes are many.
+// Steps of the golden ratio lie evenly whichever of the nodes share a zone.
+func (b *Balancer) stagger(n int) int {
 	if !b.staggered() {
-		return part
+		return 0
 	}
 	_, at := math.Modf(float64(b.set.Node) / math.Phi)
-	k := int(at * float64(len(part)))
-	return slices.Concat(part[k:], part[:k])
+	return int(at * float64(n))
 }
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -191,7 +191,7 @@
 
 func TestPacksOwnZoneInIDOrderThenSpills(t *testing.T) {
 	b := start(t, site(1), members(4))
-	for _, s := range b.order {
+	for _, s := range b.order() {
 		s.threshold = 1
 	}
 	var got []string
@@ -353,7 +353,7 @@
 // A request that is held for long tells once that servers had no room, not at each look.
 func TestHeldRequestMovesTheRatesOnce(t *testing.T) {
 	b := start(t, site(1), members(1))
-	s := b.order[0]
+	s := b.order()[0]
 	s.threshold, s.felt, s.inflight = 1, true, 3
 	b.Handle(ms, ask("x", "free"))
 	was := b.pace
@@ -373,7 +373,7 @@
 		set := site(6)
 		set.Node, set.WarmKeys = n, true
 		b := start(t, set, members(24))
-		firsts[b.order[0].Server] = true
+		firsts[b.order()[0].Server] = true
 		homes[b.homes(&request{class: b.ranked[0], key: hash("acct/1")})[0].Server] = true
 	}
 	if len(firsts) < 5 {
@@ -427,8 +427,8 @@
 func TestManyNodesFillTheirFirstFewServers(t *testing.T) {
 	b := fleet(t, members(60))
 	for i := range 6 {
-		if got := sentTo(t, b.Handle(ms, ask(fmt.Sprint(i), "free"))); got != b.order[i].Server {
-			t.Errorf("request %d: sent to %s, want %s", i, got, b.order[i].Server)
+		if got := sentTo(t, b.Handle(ms, ask(fmt.Sprint(i), "free"))); got != b.order()[i].Server {
+			t.Errorf("request %d: sent to %s, want %s", i, got, b.order()[i].Server)
 		}
 	}
 }
@@ -445,7 +445,7 @@
 		want int
 	}{"all": {members(60), 9}, "a third": {members(20), 3}, "half cold": {cold, 5}} { // 4.5 of 2 * 6 * 60 / 80
 		b, sends := fleet(t, c.list), 0
-		for _, s := range b.order {
+		for _, s := range b.order() {
 			if s.OnlineSince > 0 {
 				s.cold.tokens = 1
 			}
@@ -469,7 +469,7 @@
 		b, sends := fleet(t, members(60)), 0
 		b.set.Report = []string{"latency_ms", "util"}
 		for range 200 {
-			b.report(b.order[0], []float64{100, util})
+			b.report(b.order()[0], []float64{100, util})
 		}
 		for i := range 60 {
 			sends += len(of(b.Handle(ms, ask(fmt.Sprint(i), "free")), Send))
@@ -535,13 +535,13 @@
 	list := members(60)
 	b := fleet(t, list)
 	b.set.Report = []string{"util", "qps"}
-	last := b.order[59].Member
+	last := b.order()[59].Member
 	last.OnlineSince = time.Second
 	b.Handle(time.Second, MemberList{Kind: ListUpdate, Members: []Member{last}})
 	cold := b.servers[last.Server]
-	warm := b.order[0]
+	warm := b.order()[0]
 	for warm.Kind != cold.Kind {
-		warm = b.order[slices.Index(b.order, warm)+1]
+		warm = b.order()[slices.Index(b.order(), warm)+1]
 	}
 	b.report(warm, []float64{0.9, 400})
 	b.report(cold, []float64{0.1, 1}) // hardly used yet: tells nothing of what it can take
@@ -565,7 +565,7 @@
 	b := fleet(t, list)
 	b.now = 2 * time.Second
 	b.set.Report = []string{"util", "qps"}
-	s := b.order[0]
+	s := b.order()[0]
 	b.rates[s.Kind] = 400
 	tokens := func() float64 {
 		s.cold = coldBudget{last: b.now - 500*ms}
@@ -588,7 +588,7 @@
 	set := site(12)
 	set.WarmKeys = true
 	b := start(t, set, members(12))
-	others := b.order
+	others := b.order()
 	learn := func(code Code, n int) {
 		for range n {
 			b.learn(others[0], b.ranked[0], code, ms)
@@ -614,7 +614,7 @@
 // at the shares and nobody is ejected for it. A late answer weighs against that, as does a hung server.
 func TestOffersWhereServersShedEarly(t *testing.T) {
 	b := start(t, site(1), members(2))
-	s := b.order[0]
+	s := b.order()[0]
 	for range 40 {
 		b.learn(s, b.ranked[0], Full, ms)
 		b.judge(&attempt{server: s}, OK)
@@ -622,7 +622,7 @@
 	if !b.shedEarly() {
 		t.Fatal("40 full answers and none late: not seen to shed early")
 	}
-	for _, s := range b.order {
+	for _, s := range b.order() {
 		s.inflight = 20
 	}
 	sentTo(t, b.Handle(ms, ask("x", "free")))
@@ -665,7 +665,7 @@
 		t.Errorf("with good answers the scale is %v, want %v", b.pace, paceMost)
 	}
 	for range 20 {
-		b.learn(b.order[0], b.ranked[0], TimedOut, ms)
+		b.learn(b.order()[0], b.ranked[0], TimedOut, ms)
 	}
 	grow()
 	if b.pace > paceShare*(1+paceGrow) {
@@ -682,12 +682,12 @@
 		if late {
 			took = b.ranked[0].Aim + ms
 		}
-		before := b.order[0].threshold
+		before := b.order()[0].threshold
 		for range 20 {
-			b.learn(b.order[0], b.ranked[0], OK, took)
+			b.learn(b.order()[0], b.ranked[0], OK, took)
 		}
-		if b.order[0].threshold >= before {
-			t.Errorf("late %v: the threshold is %v, was %v", late, b.order[0].threshold, before)
+		if b.order()[0].threshold >= before {
+			t.Errorf("late %v: the threshold is %v, was %v", late, b.order()[0].threshold, before)
 		}
 		for range 200 {
 			b.refused = true
@@ -703,7 +703,7 @@
 // blamed for what was lost on them. Short gaps, and a site whose sends all fail alike, change nothing.
 func TestConnectionsDroppedUnseenAreOpenedAnew(t *testing.T) {
 	b := start(t, site(1), members(2))
-	s, now := b.order[0], Time(0)
+	s, now := b.order()[0], Time(0)
 	try := func(gap time.Duration, code Code) (closed int) {
 		now += gap
 		id := fmt.Sprint("r", now)
@@ -775,7 +775,7 @@
 // Full answers of servers that jam are no sign that they shed early: the others they give time out.
 func TestJammedServersDontShedEarly(t *testing.T) {
 	b := start(t, site(1), members(2))
-	s := b.order[0]
+	s := b.order()[0]
 	for range 30 {
 		for range 9 {
 			b.learn(s, b.ranked[0], Full, ms)
@@ -812,7 +812,7 @@
 		set.Rules.FallMultiple, set.Rules.ColdShare, set.Rules.ColdFor = multiple, 0.5, time.Hour
 		b := start(t, set, members(1))
 		b.done, b.doneAt, b.now = 100, time.Second, time.Second // a hundred answers a second at one server
-		s := b.order[0]
+		s := b.order()[0]
 		s.OnlineSince = b.now
 		s.cold = coldBudget{last: b.now - 10*ms}
 		b.coldRoom(s)
@@ -827,7 +827,7 @@
 func TestStartIsSharedByFewNodes(t *testing.T) {
 	for nodes := 1; nodes <= manyNodes; nodes++ {
 		b := start(t, site(nodes), members(4))
-		if all := b.order[0].threshold * float64(nodes); math.Abs(all-startFew) > 1e-9 {
+		if all := b.order()[0].threshold * float64(nodes); math.Abs(all-startFew) > 1e-9 {
 			t.Errorf("%d nodes: %v attempts in all, want %v", nodes, all, startFew)
 		}
 	}
@@ -946,9 +946,9 @@
 func TestFullAnswersOfSuspectsDontCount(t *testing.T) {
 	for score, want := range map[float64]bool{0: true, 0.4: false} {
 		b := start(t, site(1), members(2))
-		b.order[0].health.score = score
+		b.order()[0].health.score = score
 		for range 40 {
-			b.learn(b.order[0], b.ranked[0], Full, ms)
+			b.learn(b.order()[0], b.ranked[0], Full, ms)
 		}
 		if b.shedEarly() != want {
 			t.Errorf("with a score of %v: sheds early %v, want %v", score, !want, want)
@@ -1006,22 +1006,22 @@
 		if k := i / 6 % 20; k == 7 || k == 8 {
 			code = Reset
 		}
-		try(b, now, b.order[i%6], code)
-		if n := b.ejected; n > 0 {
+		try(b, now, b.order()[i%6], code)
+		if n := b.fleet.ejected; n > 0 {
 			t.Fatalf("%d ejected after %d outcomes", n, i)
 		}
 	}
-	for _, s := range b.order {
+	for _, s := range b.order() {
 		if s.threshold < first/2 {
 			t.Errorf("%s: threshold %v, was %v", s.Server, s.threshold, first)
 		}
 	}
-	b.eject(b.order[0], false) // for once
+	b.eject(b.order()[0], false) // for once
 	now += 5 * time.Second
 	b.reqs["trial"] = &request{id: "trial", class: b.classes["free"], deadline: now + time.Second}
-	b.send(b.reqs["trial"], b.order[0], true)
+	b.send(b.reqs["trial"], b.order()[0], true)
 	b.Handle(now, outcome("trial", 0, "s00", ConnectFailed, 0))
-	if h := b.order[0].health; !h.out || h.until != now+ejectFirst {
+	if h := b.order()[0].health; !h.out || h.until != now+ejectFirst {
 		t.Errorf("a trial that failed by what all have alike puts the next off by %v", h.until-now)
 	}
 	if b.bad > paceBad {
@@ -1038,16 +1038,16 @@
 
 	b = start(t, site(1), members(6))
 	for range 5 {
-		for _, s := range b.order {
+		for _, s := range b.order() {
 			now += 25 * ms
 			try(b, now, s, OK)
 		}
 	}
 	for range 2 {
 		now += 25 * ms
-		try(b, now, b.order[1], Reset)
+		try(b, now, b.order()[1], Reset)
 	}
-	if !b.order[1].health.out {
+	if !b.order()[1].health.out {
 		t.Error("two faults in a row, and none at others: not ejected")
 	}
 }
@@ -1099,7 +1099,7 @@
 		{"the deadline", func(b *Balancer, s *server) { b.now = 10*ms + 600*ms }, 2},
 	} {
 		b := start(t, site(1), members(1))
-		s := b.order[0]
+		s := b.order()[0]
 		s.threshold = 3
 		for _, e := range []struct {
 			id string
@@ -1128,7 +1128,7 @@
 // room its threshold leaves, until it answers.
 func TestStalledServersGetNothingNew(t *testing.T) {
 	b := start(t, site(1), members(2))
-	s := b.order[0]
+	s := b.order()[0]
 	s.latency, s.threshold = 0.1, 8
 	var ids []string
 	send := func(now Time) string {
@@ -1167,7 +1167,7 @@
 		grows   bool
 	}{{25 * ms, true}, {80 * ms, true}, {125 * ms, false}, {240 * ms, false}} { // of an aim of 250 ms
 		b := start(t, site(1), members(1))
-		s := b.order[0]
+		s := b.order()[0]
 		was := s.threshold
 		s.inflight = int(was) // full, so that the threshold is felt
 		b.learn(s, b.classes["free"], OK, c.latency)
@@ -1181,7 +1181,7 @@
 // it has several cores, and with less it would stand idle while buckets refuse for want of room.
 func TestSlowMachinesKeepRoomForAFew(t *testing.T) {
 	b := start(t, site(2), members(1))
-	s := b.order[0]
+	s := b.order()[0]
 	for range 200 {
 		b.learn(s, b.classes["free"], OK, 240*ms)
 	}
@@ -1245,10 +1245,11 @@
 		set := site(1)
 		set.Allowed.ConnIdle = 500 * ms // so that no trial goes out on a connection that may be gone
 		b := start(t, set, members(6))
-		s, now := b.order[0], time.Minute
+		s, now := b.order()[0], time.Minute
 		b.now = now
-		for _, other := range b.order { // all answer, and no others fail
+		for _, other := range b.order() { // all answer, and no others fail
 			other.lastDone = now
+			b.rank(other)
 		}
 		for !s.health.out {
 			b.strike(s, failWeight, c.code)
@@ -1309,10 +1310,10 @@
 		// most is how many requests can be out at once.
 		most := func() int {
 			now += time.Minute // nobody works on what was given up
-			for _, s := range b.order {
+			for _, s := range b.order() {
+				b.setOut(s, false)
 				s.health, s.threshold, s.lastSend = health{}, b.start(s), 0
 			}
-			b.countEjected()
 			var out []Action
 			for range 20 {
 				n++
@@ -1349,7 +1350,7 @@
 	set.Node = 7
 	b := start(t, set, members(servers))
 	now, n, dead := time.Minute, 0, map[string]bool{}
-	for _, s := range b.order[:silent] {
+	for _, s := range b.order()[:silent] {
 		dead[s.Server] = true
 	}
 	// round takes in requests, one after the other, and returns how many went to the silent servers first.
@@ -1377,7 +1378,7 @@
 	}
 	for out := 0; out < silent; {
 		round(20, false)
-		if out = b.ejected; n > 10_000 {
+		if out = b.fleet.ejected; n > 10_000 {
 			t.Fatalf("%d of %d silent servers are ejected", out, silent)
 		}
 	}
@@ -1385,9 +1386,9 @@
 	if bad := round(requests, false); float64(bad) > trialMost+trialShare*requests {
 		t.Errorf("%d of %d requests went to silent servers", bad, requests)
 	}
-	for back := 0; b.ejected > 0; back++ {
+	for back := 0; b.fleet.ejected > 0; back++ {
 		if round(1, true); back > 8*silent {
-			t.Fatalf("%d servers are still out after %d requests", b.ejected, back)
+			t.Fatalf("%d servers are still out after %d requests", b.fleet.ejected, back)
 		}
 	}
 }
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"fmt"
+	"runtime"
 	"testing"
 	"time"
 )
@@ -108,8 +109,7 @@
 	if !s.health.out {
 		panic("not ejected")
 	}
-	s.health.out = false
-	f.b.countEjected()
+	f.b.setOut(s, false)
 	s.health = health{}
 }
 
@@ -126,6 +126,38 @@
 	{"request-failed", 3, func(f *bigNode) { f.request(ServerError) }},
 }
 
+// What an event costs grows with what it changes and with the servers of its service, not with what the
+// node knows of. Entries looked at are counted, and bytes allocated, for times are not the same twice.
+func TestCostsHardlyGrowWithTheFleet(t *testing.T) {
+	for _, e := range events {
+		var mean, bytes [2]float64
+		var worst [2]int
+		for i, z := range []size{small, large} {
+			f := newBigNode(t, z)
+			runs := 3000
+			if e.most > 3 {
+				runs = 20
+			}
+			var was, is runtime.MemStats
+			runtime.ReadMemStats(&was)
+			before := *f.b.visits
+			for range runs {
+				one := *f.b.visits
+				e.do(f)
+				worst[i] = max(worst[i], *f.b.visits-one)
+			}
+			mean[i] = float64(*f.b.visits-before) / float64(runs)
+			runtime.ReadMemStats(&is)
+			bytes[i] = float64(is.TotalAlloc-was.TotalAlloc) / float64(runs)
+		}
+		t.Logf("%s: %.0f entries looked at, at most %v, and %.0f bytes allocated", e.name, mean, worst, bytes)
+		if mean[0] == 0 || mean[1] > e.most*mean[0] || float64(worst[1]) > e.most*float64(worst[0]) ||
+			bytes[1] > e.most*max(1024, bytes[0]) { // tables grow now and then
+			t.Errorf("%s: grows more than %v times", e.name, e.most)
+		}
+	}
+}
+
 func BenchmarkNode(b *testing.B) {
 	for _, e := range events {
 		for _, z := range []size{small, large} {
--- a/policy/state.go
+++ b/policy/state.go
@@ -34,8 +34,6 @@
 	processes int     // of this node
 	trials    float64 // bad trials of ejected servers that may yet be made
 	servers   map[string]*server
-	pool          // all servers in service
-	zones     int // zones that have servers
 	reqs      map[string]*request
 	held      []*request // waiting for a usable server, oldest first
 	holding   bool       // the hold timer is set
@@ -50,13 +48,7 @@
 	recalled  map[string]ServerMemory // by the process before, of servers not listed yet
 	succeeds  bool                    // a process of this node came before, and was alive at the start
 	silent    [6]float64              // part of sends unanswered, by how long the connection was idle, in octaves
-}
-
-// pool is a set of servers in packing order.
-type pool struct {
-	order   []*server // own zone first, each part in id order
-	zoned   int       // servers of order in the own zone
-	ejected int       // servers of order that are ejected
+	index
 }
 
 // class is a request class with what was learned of it.
@@ -73,12 +65,12 @@
 // server is one listed server as this node sees it.
 type server struct {
 	Member
+	indexed
 	hash      uint64
-	safest    Repeat  // of the classes that it is open to: those give the trials
 	inflight  int     // this node's attempts out
 	ghosts    []ghost // attempts given up that it may still work on
 	threshold float64 // packing threshold, in attempts in flight
-	own       bool    // of this node's zone
+	own       bool    // of this node's zone, when it last came into service
 	felt      bool    // the threshold was cut at least once
 	used      []Time  // when so many connections were last in use
 	lastSend  Time
@@ -183,7 +175,7 @@
 	var t strings.Builder
 	fmt.Fprintf(&t, "pace=%.2f bad=%.2f full=%.2f lost=%.2f blame=%.2f held=%d extra=%d", b.pace, b.bad,
 		b.fullPart, b.lost, b.blame, len(b.held), len(b.extra))
-	for _, s := range b.order {
+	for s := range b.walk(&b.fleet) {
 		fmt.Fprintf(&t, " %s=%d/%.1f", s.Server, s.inflight, b.limit(s))
 		if s.health.out {
 			t.WriteString("/out")
@@ -238,7 +230,7 @@
 		m.Buckets = append(m.Buckets, BucketMemory{Tenant: key.tenant, Class: key.class, Tokens: k.tokens,
 			Age: now - k.last})
 	}
-	for _, s := range b.order {
+	for s := range b.walk(&b.fleet) {
 		l := ServerMemory{Server: s.Server, Threshold: s.threshold, Felt: s.felt, Latency: s.latency,
 			Faults: s.faults, Takes: s.takes, ColdLevel: s.cold.tokens, Score: s.health.score,
 			Out: s.health.out, Hung: s.health.hung, Rest: s.health.until - now, Times: s.health.times}
--- a/policy/state_test.go
+++ b/policy/state_test.go
@@ -58,7 +58,7 @@
 	for out, want := range map[int]int{0: 0, 1: 1, 2: 2, 3: 0} {
 		old := start(t, site(2), members(5))
 		for i := range out {
-			s := old.order[i]
+			s := old.order()[i]
 			old.eject(s, i == 0)
 			old.eject(s, i == 0)
 			s.health.score = 0.6
@@ -70,17 +70,17 @@
 		}
 		next.Recall(time.Hour, m, 100*ms)
 		next.Handle(time.Hour, MemberList{Kind: ListRestored, Members: members(5)})
-		if next.ejected != want {
-			t.Errorf("%d were out: %d still are, want %d", out, next.ejected, want)
+		if next.fleet.ejected != want {
+			t.Errorf("%d were out: %d still are, want %d", out, next.fleet.ejected, want)
 			continue
 		}
 		for i := range want {
-			was, h := old.order[i].health, next.servers[old.order[i].Server].health
+			was, h := old.order()[i].health, next.servers[old.order()[i].Server].health
 			rest := was.until - old.now - 500*ms
 			if !h.out || h.hung != was.hung || h.times != was.times || h.until != time.Hour+rest || h.score != 0.6 {
 				t.Errorf("%d were out: the breaker is %+v, was %+v; want %v more", out, h, was, rest)
 			}
-			if to := sentTo(t, next.Handle(time.Hour+ms, ask(string(rune('a'+i)), "free"))); to == old.order[i].Server {
+			if to := sentTo(t, next.Handle(time.Hour+ms, ask(string(rune('a'+i)), "free"))); to == old.order()[i].Server {
 				t.Errorf("%d were out: %s is used", out, to)
 			}
 		}
