--- a/policy/state.go
+++ b/policy/state.go
@@ -35,8 +35,6 @@
 	processes int     // of this node
 	trials    float64 // bad trials of ejected servers that may yet be made
 	servers   map[string]*server
-	pool          // all servers in service
-	zones     int // zones that have servers
 	reqs      map[string]*request
 	held      []*request // waiting for a usable server, oldest first
 	holding   bool       // the hold timer is set
@@ -51,13 +49,7 @@
 	recalled  map[string]ServerMemory // by the process before, of servers not listed yet
 	succeeds  bool                    // a process of this node came before, and was alive at the start
 	silent    [6]float64              // part of sends unanswered, by how long the connection was idle, in octaves
-}
-
-// pool is a set of servers in packing order.
-type pool struct {
-	order   []*server // own zone first, each part in id order
-	zoned   int       // servers of order in the own zone
-	ejected int       // servers of order that are ejected
+	index
 }
 
 // class is a request class with what was learned of it.
@@ -74,12 +66,12 @@
 // server is one listed server as this node sees it.
 type server struct {
 	Member
+	indexed
 	hash      uint64
-	safest    Repeat  // of the classes that it is open to: those give the trials
 	inflight  int     // this node's attempts out
 	ghosts    []ghost // attempts given up that it may still work on
 	threshold float64 // packing threshold, in attempts in flight
-	own       bool    // of this node's zone
+	own       bool    // of this node's zone, when it last came into service
 	felt      bool    // the threshold was cut at least once
 	used      []Time  // when so many connections were last in use
 	lastSend  Time
@@ -183,9 +175,9 @@
 	fmt.Fprintf(&t, "pace=%.2f bad=%.2f full=%.2f lost=%.2f blame=%.2f held=%d extra=%d", b.pace, b.bad,
 		b.fullPart, b.lost, b.blame, len(b.held), len(b.extra))
 	told, idle, more, out := 0, 0, 0, 0
-	for _, s := range b.order {
+	for s := range b.walk(&b.fleet) {
 		switch {
-		case len(b.order) <= mostTold:
+		case b.fleet.len() <= mostTold:
 		case s.inflight == 0 && !s.health.out && (s.lastDone == 0 || b.now-s.lastDone > usedFor):
 			idle++
 			continue
@@ -201,7 +193,7 @@
 			t.WriteString("/out")
 		}
 	}
-	if len(b.order) > told {
+	if b.fleet.len() > told {
 		fmt.Fprintf(&t, " left_out=%d idle=%d out=%d", idle+more, idle, out)
 	}
 	return t.String()
@@ -249,7 +241,7 @@
 // Remember is what a successor of this node should know.
 func (b *Balancer) Remember(now Time) Memory {
 	m := Memory{Pace: b.pace, Busy: b.busy, Rates: maps.Clone(b.rates), Buckets: b.rememberBuckets(now)}
-	for _, s := range b.order {
+	for s := range b.walk(&b.fleet) {
 		l := ServerMemory{Server: s.Server, Threshold: s.threshold, Felt: s.felt, Latency: s.latency,
 			Faults: s.faults, Takes: s.takes, ColdLevel: s.cold.tokens, Score: s.health.score,
 			Out: s.health.out, Hung: s.health.hung, Rest: s.health.until - now, Times: s.health.times}
