Look for idle connections where there are any, not at every server

Change: pools with idle connections are kept in a set, which all changes of what is idle go through; there are no more of them than connections.

Ruled out: allocations, both make none to speak of.

Not taken: a list of idle connections by age, which would make an eviction constant; 600 are few, and each list more is one to keep right.

--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -3,6 +3,8 @@
 import (
 	"fmt"
 	"maps"
+	"math/rand/v2"
+	"net"
 	"slices"
 	"testing"
 	"time"
@@ -76,6 +78,88 @@
 	}
 }
 
+// Sweeps and evictions go through the pools that have idle connections, however many servers there are, and through
+// all of these.
+func TestOnlyPoolsThatRestAreLookedAt(t *testing.T) {
+	l := manyLoop(t, many)
+	u, list, rng := l.up, manyMembers(many), rand.New(rand.NewPCG(1, 2))
+	u.update(discovery.News{Kind: policy.ListReplace, Members: list})
+	u.most = 40
+	evicted, swept := 0, 0
+	for i := range 5000 {
+		id := list[rng.IntN(len(list))].Server
+		switch p := u.pools[id]; rng.IntN(20) {
+		case 0:
+			u.closeIdle(id)
+		case 1: // its process is another from now on
+			for j := range list {
+				if list[j].Server == id {
+					list[j].UpSince++
+					u.update(discovery.News{Kind: policy.ListUpdate, Members: list[j : j+1]})
+				}
+			}
+		case 2:
+			if i%10 == 0 {
+				before := u.open
+				u.sweep(time.Now())
+				swept += before - u.open
+			}
+		case 3:
+			_, _, _, _ = u.reserve(id)
+			u.open = 0 // as if what it reserved had ended
+			for _, p := range u.pools {
+				u.open += len(p.idle)
+			}
+		default:
+			if u.open >= u.most {
+				oldest := time.Now()
+				for _, p := range u.pools {
+					for _, c := range p.idle {
+						if c.used.Before(oldest) {
+							oldest = c.used
+						}
+					}
+				}
+				before := u.open
+				if !u.evict() || u.open != before-1 {
+					t.Fatal("nothing was evicted")
+				}
+				for p := range u.rests {
+					if !p.idle[0].used.After(oldest) {
+						t.Fatal("another one than the oldest was evicted")
+					}
+				}
+				evicted++
+			}
+			u.count(1)
+			u.release(&conn{TCPConn: new(net.TCPConn), pool: p}, id, true)
+		}
+		resting := 0
+		for _, p := range u.pools {
+			if len(p.idle) > 0 {
+				resting++
+				if _, ok := u.rests[p]; !ok {
+					t.Fatalf("step %d: a pool that rests is not looked at", i)
+				}
+			}
+		}
+		if len(u.rests) != resting {
+			t.Fatalf("step %d: %d pools are looked at, %d rest", i, len(u.rests), resting)
+		}
+	}
+	if evicted < 100 || swept < 100 {
+		t.Errorf("%d were evicted and %d swept", evicted, swept)
+	}
+}
+
+func BenchmarkSweep(b *testing.B) {
+	l := manyLoop(b, 2500)
+	l.up.update(discovery.News{Kind: policy.ListReplace, Members: manyMembers(39_000)})
+	for b.Loop() {
+		l.up.sweep(time.Now())
+	}
+}
+
 func BenchmarkLists(b *testing.B) {
 	for _, n := range []int{many / 4, many} {
 		b.Run(fmt.Sprint("replace ", n), func(b *testing.B) {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -59,10 +59,11 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
-	at    map[string]string // the pool's server at each address
-	open  int               // connections, those being made among them
-	most  int               // that may be open: the rest of the descriptors is the clients'
-	free  atomic.Int64      // of them; read without the mutex
+	rests map[*pool]struct{} // those with idle connections: few, where servers are many
+	at    map[string]string  // the pool's server at each address
+	open  int                // connections, those being made among them
+	most  int                // that may be open: the rest of the descriptors is the clients'
+	free  atomic.Int64       // of them; read without the mutex
 }
 
 // pool holds the idle connections to one process of one server, the last used at the end.
@@ -96,7 +97,7 @@
 		dial:    (&net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1}).DialContext,
 		idleFor: idle / 2, // what is written just as the server closes would end as a reset
 		report:  c.Settings.Report, room: newRoom(c.MemoryMB, c.Cores), pools: make(map[string]*pool),
-		at: make(map[string]string), most: most,
+		rests: make(map[*pool]struct{}), at: make(map[string]string), most: most,
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		writers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
 	}
@@ -160,12 +161,22 @@
 	}
 }
 
+// setIdle has p keep these connections idle. Sweeps and evictions look at pools that have any and no others: a walk
+// over all servers would hold the mutex, and with it every request, for milliseconds where they are tens of thousands.
+func (u *upstream) setIdle(p *pool, idle []*conn) {
+	if p.idle = idle; len(idle) > 0 {
+		u.rests[p] = struct{}{}
+	} else {
+		delete(u.rests, p)
+	}
+}
+
 // trim closes the n connections of p that were idle longest.
 func (u *upstream) trim(p *pool, n int) {
 	for _, c := range p.idle[:n] {
 		c.Close()
 	}
-	p.idle = append([]*conn(nil), p.idle[n:]...)
+	u.setIdle(p, append([]*conn(nil), p.idle[n:]...))
 	u.count(-n)
 }
 
@@ -182,7 +193,7 @@
 func (u *upstream) sweep(now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for _, p := range u.pools {
+	for p := range u.rests {
 		var kept []*conn
 		for _, c := range p.idle {
 			if now.Sub(c.used) < u.idleFor && quiet(c.TCPConn) {
@@ -192,7 +203,7 @@
 			c.Close()
 			u.count(-1)
 		}
-		p.idle = kept
+		u.setIdle(p, kept)
 	}
 }
 
@@ -272,7 +283,8 @@
 		c := p.idle[i]
 		last := len(p.idle) - 1
 		copy(p.idle[i:], p.idle[i+1:])
-		p.idle[last], p.idle = nil, p.idle[:last]
+		p.idle[last] = nil
+		u.setIdle(p, p.idle[:last])
 		if now.Sub(c.used) < u.idleFor && quiet(c.TCPConn) {
 			return p, c, p.leaving, nil
 		}
@@ -341,8 +353,8 @@
 // evict closes the connection that was idle longest, if there is one.
 func (u *upstream) evict() bool {
 	var oldest *pool
-	for _, p := range u.pools {
-		if len(p.idle) > 0 && (oldest == nil || p.idle[0].used.Before(oldest.idle[0].used)) {
+	for p := range u.rests {
+		if oldest == nil || p.idle[0].used.Before(oldest.idle[0].used) {
 			oldest = p
 		}
 	}
@@ -360,7 +372,7 @@
 	if reusable && u.pools[id] == c.pool {
 		c.used = time.Now()
 		c.uses++
-		c.pool.idle = append(c.pool.idle, c)
+		u.setIdle(c.pool, append(c.pool.idle, c))
 		return
 	}
 	c.Close()
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -168,7 +168,8 @@
 		t.Fatal(err)
 	}
 	p := u.pools["s0"]
-	p.idle, u.open = []*conn{{TCPConn: tcp.(*net.TCPConn), pool: p, used: time.Now().Add(-time.Second)}}, 1
+	u.setIdle(p, []*conn{{TCPConn: tcp.(*net.TCPConn), pool: p, used: time.Now().Add(-time.Second)}})
+	u.open = 1
 	if r := ended(t, u, testExchange(http.MethodPost, "r1", "body")); r.code != policy.ConnectFailed {
 		t.Errorf("code %v, want could not connect", r.code)
 	}
