Let changes gather for a tenth of a second where they come faster than calls are worth

Cause: the next call for the list goes out as soon as a change has come (turn in discovery.go).

Change: after two answers in a row that came sooner than 100 ms after their calls and brought changes, the next call waits for 100 ms. A change by itself is heard at once as before.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -41,7 +41,10 @@
 	queueLimit, queueMore, queueMost = 3 * time.Second, time.Second, 6 * time.Second // at first, for each one given up, at most
 	bodyLimit                        = 500 * time.Millisecond                        // from an answer's first byte to its last: what it tells may count from the first
 	bodyMost                         = 4 * time.Second                               // the same, after such failures in a row
-	backoffMin                       = 25 * time.Millisecond
+	// gatherFor is how long changes gather before the next call while they come faster than that: a call for each would
+	// be most of what a node says when a zone is lost. Discovery takes the watch for the same up to 200 ms after its answer.
+	gatherFor  = 100 * time.Millisecond
+	backoffMin = 25 * time.Millisecond
 	// backoffMax guards the rule on drains: what a pushed list's agent has counts as told, also while
 	// the node pauses after a failed call.
 	backoffMax = 200 * time.Millisecond
@@ -207,9 +210,12 @@
 	due    time.Time
 	within time.Duration // news counts so long after discovery had it, for a node without a watch
 	open   time.Time     // the same of the last call, were it silent
-	grace  time.Duration // of the rule on drains, from then on
-	nodes  int
-	rng    *rand.Rand
+	// gathered tells that the last answer was followed by a pause, in which what changed counts as told; quick that the
+	// call before was answered with changes sooner than they gather.
+	gathered, quick bool
+	grace           time.Duration // of the rule on drains, from then on
+	nodes           int
+	rng             *rand.Rand
 
 	mu        sync.Mutex
 	moved     string             // the address to go on at, until Run has taken it up
@@ -313,6 +319,10 @@
 	switch {
 	case err == nil:
 		d.learn(l, c.asked)
+		quick := c.wait > checkWait && len(l.Members) > 0 && time.Since(c.asked) < gatherFor
+		if d.gathered, d.quick = quick && d.quick, quick; d.gathered { // twice in a row is hardly chance
+			pause(ctx, gatherFor)
+		}
 		return true, 0
 	case ctx.Err() != nil: // moved, or the end
 		return true, 0
@@ -394,6 +404,10 @@
 	case c.silent && d.failed == 1:
 		told = c.asked.Add(newsLatest)
 	}
+	if d.gathered && told.After(c.asked) { // what came while changes gathered counted at once
+		told = c.asked
+	}
+	d.gathered, d.quick = false, false
 	if d.due.IsZero() || told.Before(d.due) {
 		d.due = told
 	}
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -705,3 +705,80 @@
 		})
 	}
 }
+
+// Changes that come faster than calls are worth gather for a tenth of a second; one by itself is heard at once, also
+// right after such a burst.
+func TestBurstsOfChangesGather(t *testing.T) {
+	modes(t, func(t *testing.T, subscribe bool) {
+		for _, nodes := range []int{1, 350} {
+			r := newRegistry(t)
+			l := follower(t, r, 0, nodes, subscribe, 1)
+			time.Sleep(20 * time.Second)
+			for _, phase := range []string{"draining", "up", "draining"} { // each by itself
+				r.change(entry("s0", phase))
+				synctest.Wait()
+				if drains(l) != (phase == "draining") {
+					t.Errorf("%d nodes: %s is not heard at once", nodes, phase)
+				}
+				time.Sleep(150 * time.Millisecond)
+			}
+			before := r.asked()
+			for i := range 250 {
+				r.change(entry("s0", []string{"up", "draining"}[i%2]))
+				time.Sleep(4 * time.Millisecond)
+			}
+			if calls := r.asked() - before; calls > 14 || calls < 9 {
+				t.Errorf("%d nodes: %d calls in a second of changes", nodes, calls)
+			}
+			r.change(entry("s0", "up"))
+			time.Sleep(100 * time.Millisecond)
+			synctest.Wait()
+			if drains(l) {
+				t.Errorf("%d nodes: the last change is not heard within a tenth of a second", nodes)
+			}
+			time.Sleep(150 * time.Millisecond)
+			r.change(entry("s0", "draining"))
+			synctest.Wait()
+			if !drains(l) {
+				t.Errorf("%d nodes: a change after the burst is not heard at once", nodes)
+			}
+		}
+	})
+}
+
+// A drain that comes while changes gather counts as told at once, and is heard within the grace where the call that
+// would have told it goes wrong.
+func TestDrainsAreHeardPastAGatheringThatFails(t *testing.T) {
+	for _, how := range []string{"503", "reset", "malformed", "no HTTP"} {
+		t.Run(how, func(t *testing.T) {
+			modes(t, func(t *testing.T, subscribe bool) {
+				for seed := range uint64(10) {
+					r := newRegistry(t)
+					l := follower(t, r, 0, 350, subscribe, seed)
+					time.Sleep(20 * time.Second)
+					for range 3 { // each answers a watch, and the next comes at once but for the last
+						r.change(entry("s1", "up"))
+						synctest.Wait()
+						time.Sleep(10 * time.Millisecond)
+					}
+					time.Sleep(40 * time.Millisecond)
+					r.mu.Lock()
+					n := len(r.calls)
+					r.spoil = func(call int) string {
+						if call == n+1 {
+							return how
+						}
+						return ""
+					}
+					r.mu.Unlock()
+					r.change(entry("s0", "draining"))
+					drained := time.Now()
+					time.Sleep(drainGrace)
+					if !drains(l) {
+						t.Errorf("seed %d: the drain is not known; calls at %v", seed, ago(r, drained))
+					}
+				}
+			})
+		})
+	}
+}
