--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -8,6 +8,7 @@
 	"sync"
 	"time"
 
+	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
 
@@ -44,12 +45,7 @@
 	most := int(clientsPart * float64(c.Sockets-own))
 	up := newUpstream(c, c.Sockets-own-most)
 	defer up.close()
-	for _, class := range c.Settings.Classes {
-		slog.Info("class", "name", class.Name, "aim", class.Aim, "deadline", class.Deadline)
-	}
-	for _, t := range c.Settings.Tenants {
-		slog.Info("tenant", "name", t.Name, "quota_rps", t.Quota)
-	}
+	logSettings(c.Settings)
 	slog.Info("limits", "nodes", c.Settings.Nodes, "max_open", c.MaxOpen, "connect_timeout", c.ConnectTimeout,
 		"connection_idle", c.Settings.Allowed.ConnIdle, "max_retry_after", c.Settings.Allowed.MaxRetryAfter,
 		"client_sockets", most, "server_sockets", up.most)
@@ -79,12 +75,12 @@
 	defer parts.Wait()
 	defer stop()
 	parts.Go(func() { l.run(running, c.Known) })
-	parts.Go(func() { l.disc.run(running) })
+	parts.Go(func() { l.disc.Run(running) })
 	parts.Go(func() {
 		for {
 			select {
 			case addr := <-moves:
-				l.disc.move(addr)
+				l.disc.Move(addr)
 			case <-running.Done():
 				return
 			}
@@ -159,7 +155,7 @@
 	slog.Info("handover: taking over", "servers", len(old.Members), "revision", old.Revision, "standby", old.Standby,
 		"age", time.Since(old.Saved))
 	if len(old.Members) > 0 {
-		c.Known = list{Revision: old.Revision, Complete: true, Members: old.Members}
+		c.Known = discovery.List{Revision: old.Revision, Complete: true, Members: old.Members}
 	}
 	return h, old
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -23,6 +23,7 @@
 	ranked    []*class // in the order of the settings
 	other     *Limit   // for tenants without a quota; nil: no limit
 	buckets   map[bucketKey]*bucket
+	lookedAt  bucketRing
 	pace      float64 // scale of all bucket rates
 	trust     float64 // scale of the thresholds of servers that other nodes mostly use
 	ease      float64 // scale of what this node may have out where nodes are many, by late answers
@@ -34,8 +35,6 @@
 	processes int     // of this node
 	trials    float64 // bad trials of ejected servers that may yet be made
 	servers   map[string]*server
-	pool          // all servers in service
-	zones     int // zones that have servers
 	reqs      map[string]*request
 	held      []*request // waiting for a usable server, oldest first
 	holding   bool       // the hold timer is set
@@ -50,13 +49,7 @@
 	recalled  map[string]ServerMemory // by the process before, of servers not listed yet
 	succeeds  bool                    // a process of this node came before, and was alive at the start
 	silent    [6]float64              // part of sends unanswered, by how long the connection was idle, in octaves
-}
-
-// pool is a set of servers in packing order.
-type pool struct {
-	order   []*server // own zone first, each part in id order
-	zoned   int       // servers of order in the own zone
-	ejected int       // servers of order that are ejected
+	index
 }
 
 // class is a request class with what was learned of it.
@@ -73,12 +66,12 @@
 // server is one listed server as this node sees it.
 type server struct {
 	Member
+	indexed
 	hash      uint64
-	safest    Repeat  // of the classes that it is open to: those give the trials
 	inflight  int     // this node's attempts out
 	ghosts    []ghost // attempts given up that it may still work on
 	threshold float64 // packing threshold, in attempts in flight
-	own       bool    // of this node's zone
+	own       bool    // of this node's zone, when it last came into service
 	felt      bool    // the threshold was cut at least once
 	used      []Time  // when so many connections were last in use
 	lastSend  Time
@@ -119,14 +112,6 @@
 	idle   int // octave of the time that its connection was idle; 0 for one in use
 }
 
-type bucketKey struct{ tenant, class string }
-
-// bucket holds whole tokens and the time they were last added.
-type bucket struct {
-	tokens int64
-	last   Time
-}
-
 // watch is one attempt to look at when it has been out for long.
 type watch struct {
 	req     *request
@@ -177,18 +162,40 @@
 // seconds turns a number of seconds into a Duration.
 func seconds(s float64) time.Duration { return time.Duration(s * float64(time.Second)) }
 
+const (
+	mostTold = 200             // servers in the log's line; where there are more, those that matter and no more than these
+	usedFor  = 5 * time.Second // after its last answer a server matters, which is as often as the line is written
+)
+
 // String tells what the decisions go by, in one line for the log: bucket pace, the parts that errors are
-// weighed by, and for each server in service its attempts out, threshold and breaker.
+// weighed by, and for each server in service its attempts out, threshold and breaker. Of many servers it tells
+// only those that have attempts out, answered lately or are ejected, and how many it leaves out.
 func (b *Balancer) String() string {
 	var t strings.Builder
 	fmt.Fprintf(&t, "pace=%.2f bad=%.2f full=%.2f lost=%.2f blame=%.2f held=%d extra=%d", b.pace, b.bad,
 		b.fullPart, b.lost, b.blame, len(b.held), len(b.extra))
-	for _, s := range b.order {
+	told, idle, more, out := 0, 0, 0, 0
+	for s := range b.walk(&b.fleet) {
+		switch {
+		case b.fleet.len() <= mostTold:
+		case s.inflight == 0 && !s.health.out && (s.lastDone == 0 || b.now-s.lastDone > usedFor):
+			idle++
+			continue
+		case told == mostTold:
+			if more++; s.health.out {
+				out++
+			}
+			continue
+		}
+		told++
 		fmt.Fprintf(&t, " %s=%d/%.1f", s.Server, s.inflight, b.limit(s))
 		if s.health.out {
 			t.WriteString("/out")
 		}
 	}
+	if b.fleet.len() > told {
+		fmt.Fprintf(&t, " left_out=%d idle=%d out=%d", idle+more, idle, out)
+	}
 	return t.String()
 }
 
@@ -233,12 +240,8 @@
 
 // Remember is what a successor of this node should know.
 func (b *Balancer) Remember(now Time) Memory {
-	m := Memory{Pace: b.pace, Busy: b.busy, Rates: maps.Clone(b.rates)}
-	for key, k := range b.buckets {
-		m.Buckets = append(m.Buckets, BucketMemory{Tenant: key.tenant, Class: key.class, Tokens: k.tokens,
-			Age: now - k.last})
-	}
-	for _, s := range b.order {
+	m := Memory{Pace: b.pace, Busy: b.busy, Rates: maps.Clone(b.rates), Buckets: b.rememberBuckets(now)}
+	for s := range b.walk(&b.fleet) {
 		l := ServerMemory{Server: s.Server, Threshold: s.threshold, Felt: s.felt, Latency: s.latency,
 			Faults: s.faults, Takes: s.takes, ColdLevel: s.cold.tokens, Score: s.health.score,
 			Out: s.health.out, Hung: s.health.hung, Rest: s.health.until - now, Times: s.health.times}
@@ -264,8 +267,8 @@
 	}
 	for _, k := range m.Buckets {
 		l, key, ok := b.limitFor(k.Tenant, k.Class)
-		if ok && key == (bucketKey{k.Tenant, k.Class}) && len(b.buckets) < maxBuckets {
-			b.buckets[key] = &bucket{tokens: min(l.Burst, max(0, k.Tokens)), last: now - max(0, k.Age) - max(0, ago)}
+		if ok && key == (bucketKey{k.Tenant, k.Class}) && b.mayOwn(key) {
+			b.keep(key, min(l.Burst, max(0, k.Tokens)), now-max(0, k.Age)-max(0, ago))
 		}
 	}
 	b.succeeds = len(m.Servers) > 0
--- a/policy/state_test.go
+++ b/policy/state_test.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"strings"
 	"testing"
 	"time"
 )
@@ -58,7 +59,7 @@
 	for out, want := range map[int]int{0: 0, 1: 1, 2: 2, 3: 0} {
 		old := start(t, site(2), members(5))
 		for i := range out {
-			s := old.order[i]
+			s := old.order()[i]
 			old.eject(s, i == 0)
 			old.eject(s, i == 0)
 			s.health.score = 0.6
@@ -70,17 +71,17 @@
 		}
 		next.Recall(time.Hour, m, 100*ms)
 		next.Handle(time.Hour, MemberList{Kind: ListRestored, Members: members(5)})
-		if next.ejected != want {
-			t.Errorf("%d were out: %d still are, want %d", out, next.ejected, want)
+		if next.fleet.ejected != want {
+			t.Errorf("%d were out: %d still are, want %d", out, next.fleet.ejected, want)
 			continue
 		}
 		for i := range want {
-			was, h := old.order[i].health, next.servers[old.order[i].Server].health
+			was, h := old.order()[i].health, next.servers[old.order()[i].Server].health
 			rest := was.until - old.now - 500*ms
 			if !h.out || h.hung != was.hung || h.times != was.times || h.until != time.Hour+rest || h.score != 0.6 {
 				t.Errorf("%d were out: the breaker is %+v, was %+v; want %v more", out, h, was, rest)
 			}
-			if to := sentTo(t, next.Handle(time.Hour+ms, ask(string(rune('a'+i)), "free"))); to == old.order[i].Server {
+			if to := sentTo(t, next.Handle(time.Hour+ms, ask(string(rune('a'+i)), "free"))); to == old.order()[i].Server {
 				t.Errorf("%d were out: %s is used", out, to)
 			}
 		}
@@ -128,3 +129,39 @@
 		}
 	}
 }
+
+// The log's line names every server of a small fleet, and of a large one those that matter.
+func TestLogLineOfManyServersIsBounded(t *testing.T) {
+	small := start(t, site(1), members(mostTold))
+	if got := small.String(); strings.Count(got, "=0/") != mostTold || strings.Contains(got, "left_out") {
+		t.Errorf("of %d servers: %s", mostTold, got)
+	}
+	b := start(t, site(1), members(39000))
+	b.now = time.Hour
+	if got := b.String(); !strings.HasSuffix(got, " extra=0 left_out=39000 idle=39000 out=0") {
+		t.Errorf("with nothing to do: %s", got)
+	}
+	b.order()[10000].inflight = 2
+	b.order()[20000].health.out = true
+	b.order()[30000].lastDone = b.now - usedFor
+	b.order()[30001].lastDone = b.now - usedFor - 1
+	got := b.String()
+	for i, want := range map[int]string{10000: "=2/6.0 ", 20000: "=0/6.0/out ", 30000: "=0/6.0 "} {
+		if !strings.Contains(got, " "+b.order()[i].Server+want) {
+			t.Errorf("server %d is left out: %s", i, got)
+		}
+	}
+	if !strings.HasSuffix(got, " left_out=38997 idle=38997 out=0") {
+		t.Errorf("the end is %q", got[max(0, len(got)-80):])
+	}
+	for _, s := range b.order() {
+		s.health.out = true
+	}
+	got = b.String()
+	if n := strings.Count(got, "/out"); n != mostTold || len(got) > 30*mostTold {
+		t.Errorf("%d servers in %d bytes, want %d", n, len(got), mostTold)
+	}
+	if !strings.HasSuffix(got, " left_out=38800 idle=0 out=38800") {
+		t.Errorf("the end is %q", got[max(0, len(got)-80):])
+	}
+}
