--- a/internal/scale/run.go
+++ b/internal/scale/run.go
@@ -425,7 +425,8 @@
 			if i >= r.Real && i-r.Real < len(r.groups) {
 				want = r.groups[i-r.Real]
 			}
-			asked = asked && (s.WatchCalls+s.WholeCalls >= int64(want) || r.Real+len(r.groups) == 0)
+			// Calls alone would not do: some nodes have made two while others wait for their turn to begin.
+			asked = asked && (s.WatchCalls+s.WholeCalls >= int64(want) && s.Open >= int64(want) || r.Real+len(r.groups) == 0)
 		}
 		inForce, err := r.inForceEverywhere(ctx, 0)
 		if err != nil {
