Work out the last zone's entries once, not for each entry that it loses

The places and zones of entries stay, so the indexes are kept from the start. An error text that one place uses stands there. Behaviour is the same; the tests are unchanged.

--- a/internal/scale/process.go
+++ b/internal/scale/process.go
@@ -135,7 +135,7 @@
 func parseKB(text, name string) (int64, error) {
 	v, ok := field(text, name)
 	if !ok {
-		return 0, fmt.Errorf("%s: %w", name, errNoField)
+		return 0, fmt.Errorf("%s: no such field", name)
 	}
 	n, err := strconv.ParseInt(strings.TrimSuffix(v, " kB"), 10, 64)
 	if err != nil {
--- a/internal/scale/result.go
+++ b/internal/scale/result.go
@@ -4,7 +4,6 @@
 	"bufio"
 	"bytes"
 	"encoding/json"
-	"errors"
 	"fmt"
 	"os"
 	"os/exec"
@@ -248,5 +247,3 @@
 	}
 	return "", false
 }
-
-var errNoField = errors.New("no such field")
--- a/internal/scale/world.go
+++ b/internal/scale/world.go
@@ -62,6 +62,8 @@
 	tail         func() []byte
 	known        func() ([]byte, error)
 
+	lastZone []int // indexes into current of the last zone's entries, whose places and zones stay
+
 	// What NextChange has made of it.
 	current  []Entry
 	changing int // index into current of the entry that changed last
@@ -89,6 +91,12 @@
 	}
 	w.start = w.transcribers(loads, rng, port)
 	w.current = slices.Clone(w.start)
+	last := zoneName(s.Zones - 1)
+	for i, e := range w.start {
+		if e.Locality == last {
+			w.lastZone = append(w.lastZone, i)
+		}
+	}
 	w.tail = sync.OnceValue(w.settingsTail)
 	w.known = sync.OnceValues(func() ([]byte, error) {
 		return json.Marshal(memberList{Revision: 1, Complete: true, Members: w.start})
@@ -236,18 +244,7 @@
 	return []Entry{old, *e}
 }
 
-// lastZone are the indexes of the last zone's entries, whose places in the list stay.
-func (w *World) lastZone() (all []int) {
-	name := zoneName(w.Step.Zones - 1)
-	for i, e := range w.current {
-		if e.Locality == name {
-			all = append(all, i)
-		}
-	}
-	return all
-}
-
-func (w *World) lastZoneSize() int { return len(w.lastZone()) }
+func (w *World) lastZoneSize() int { return len(w.lastZone) }
 
 // loseLastZone returns the last zone's i-th entry as removed, or all of them for -1. It and restoreLastZone are for
 // the caller of NextChange, which meanwhile may bring single ones back.
@@ -268,11 +265,13 @@
 	})
 }
 
-func (w *World) ofLastZone(i int, as func(*Entry) Entry) (all []Entry) {
-	for at, index := range w.lastZone() {
-		if i < 0 || at == i {
-			all = append(all, as(&w.current[index]))
-		}
+func (w *World) ofLastZone(i int, as func(*Entry) Entry) []Entry {
+	if i >= 0 {
+		return []Entry{as(&w.current[w.lastZone[i]])}
+	}
+	all := make([]Entry, 0, len(w.lastZone))
+	for _, index := range w.lastZone {
+		all = append(all, as(&w.current[index]))
 	}
 	return all
 }
