--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -11,17 +11,17 @@
 
 // coldFleet is many instances in front of the same servers, one of which is cold, on one clock.
 type coldFleet struct {
-	set             Settings
-	rng             *rand.Rand
-	nodes           []*Balancer
-	now             time.Duration
-	queue           fleetEvents
-	sends           []time.Duration // to the cold server
-	other           int             // to all others
-	n               int
-	reports         bool
-	capacity        float64 // requests a second of a warm server
-	failing         bool    // the cold server fails all that it gets
+	set      Settings
+	rng      *rand.Rand
+	nodes    []*Balancer
+	now      time.Duration
+	queue    fleetEvents
+	sends    []time.Duration // to the cold server
+	other    int             // to all others
+	n        int
+	reports  bool
+	capacity float64 // requests a second of a warm server
+	failing  bool    // the cold server fails all that it gets
 }
 
 type fleetEvent struct {
