--- /dev/null
+++ b/internal/invariant/rules_test.go
@@ -0,0 +1,143 @@
+package invariant
+
+import (
+	"bytes"
+	"log/slog"
+	"strings"
+	"sync"
+	"testing"
+	"testing/synctest"
+	"time"
+
+	"cobaltward/policy"
+)
+
+func TestMayAttempt(t *testing.T) {
+	const second = time.Second
+	plain := Attempt{Now: second, Deadline: 2 * second, MaxAttempts: 3, Window: 4 * second}
+	ran := PriorAttempt{Sent: 0, MayHaveRun: true, SameGroup: true}
+	never := PriorAttempt{Sent: 0}
+	out := PriorAttempt{Out: true, MayHaveRun: true, SameGroup: true}
+	for name, c := range map[string]struct {
+		change func(*Attempt)
+		want   Rule
+	}{
+		"a first attempt":                         {func(*Attempt) {}, None},
+		"after the answer":                        {func(a *Attempt) { a.Answered = true }, AttemptAfterAnswer},
+		"after the client has left":               {func(a *Attempt) { a.ClientLeft = true }, AttemptAfterDeparture},
+		"at the deadline":                         {func(a *Attempt) { a.Now = a.Deadline }, AttemptAfterDeadline},
+		"of a body that has gone on":              {func(a *Attempt) { a.BodySpent = true }, BodySpent},
+		"beyond the most":                         {func(a *Attempt) { a.Prior = []PriorAttempt{never, never, never} }, TooManyAttempts},
+		"a first where none is allowed":           {func(a *Attempt) { a.MaxAttempts = 0 }, None},
+		"a second beside the first":               {func(a *Attempt) { a.Repeat, a.Prior = policy.Free, []PriorAttempt{out} }, ConcurrentAttempts},
+		"a second beside the first, as allowed":   {func(a *Attempt) { a.Repeat, a.Prior, a.Hedging = policy.Free, []PriorAttempt{out}, true }, None},
+		"again what never ran":                    {func(a *Attempt) { a.Prior = []PriorAttempt{never} }, None},
+		"again what may have run":                 {func(a *Attempt) { a.Prior = []PriorAttempt{never, ran} }, UnsafeRepeat},
+		"a second beside one that may not repeat": {func(a *Attempt) { a.Prior, a.Hedging = []PriorAttempt{out}, true }, UnsafeRepeat},
+		"keyed, in its window":                    {func(a *Attempt) { a.Repeat, a.Prior = policy.Guarded, []PriorAttempt{ran} }, None},
+		"keyed, at the window's end": {func(a *Attempt) { a.Repeat, a.Prior, a.Window = policy.Guarded, []PriorAttempt{ran}, second },
+			RepeatOutsideWindow},
+		"keyed, to another group": {func(a *Attempt) { a.Repeat, a.Prior = policy.Guarded, []PriorAttempt{{MayHaveRun: true}} },
+			RepeatOutsideWindow},
+		"keyed, by the first that may have run": {func(a *Attempt) {
+			a.Repeat, a.Prior = policy.Guarded, []PriorAttempt{ran, {Sent: second, MayHaveRun: true, SameGroup: true}}
+			a.Window = second
+		}, RepeatOutsideWindow},
+		"safe to repeat": {func(a *Attempt) { a.Repeat, a.Prior = policy.Free, []PriorAttempt{ran} }, None},
+	} {
+		a := plain
+		c.change(&a)
+		if got := MayAttempt(a); got != c.want {
+			t.Errorf("%s: %v, want %v", name, got, c.want)
+		}
+	}
+}
+
+func TestMayWrite(t *testing.T) {
+	for w, want := range map[Write]Rule{
+		{}:                                      None,
+		{ClientLeft: true, TimeUp: true}:        AttemptAfterDeparture,
+		{ServerLeaving: true, WindowOver: true}: SendToLeavingServer,
+		{ServerUnknown: true}:                   SendToUnknownServer,
+		{WindowOver: true}:                      RepeatOutsideWindow,
+		{TimeUp: true}:                          AttemptAfterDeadline,
+	} {
+		if got := MayWrite(w); got != want {
+			t.Errorf("%+v: %v, want %v", w, got, want)
+		}
+	}
+}
+
+func TestMayRefuse(t *testing.T) {
+	ran, never := []PriorAttempt{{}, {MayHaveRun: true}}, []PriorAttempt{{}}
+	for name, c := range map[string]struct{ got, want Rule }{
+		"unsafe that may have run":        {MayRefuse(policy.Never, 0, ran), RefusedAfterEffect},
+		"unsafe that never ran":           {MayRefuse(policy.Never, 0, never), None},
+		"keyed that all servers know":     {MayRefuse(policy.Guarded, policy.GroupAll, ran), None},
+		"keyed that one zone knows":       {MayRefuse(policy.Guarded, policy.GroupZone, ran), RefusedAfterEffect},
+		"safe":                            {MayRefuse(policy.Free, 0, ran), None},
+		"unsafe that was never attempted": {MayRefuse(policy.Never, 0, nil), None},
+	} {
+		if c.got != c.want {
+			t.Errorf("%s: %v, want %v", name, c.got, c.want)
+		}
+	}
+}
+
+func TestTimesAndConnections(t *testing.T) {
+	for name, c := range map[string]struct{ got, want Rule }{
+		"told what is left":            {MayTell(time.Second, time.Second), None},
+		"told a little more":           {MayTell(time.Second+DeadlineSlack, time.Second), None},
+		"told too much":                {MayTell(time.Second+DeadlineSlack+1, time.Second), DeadlineOverstated},
+		"answered in the grace":        {InTime(time.Second+AnswerGrace, time.Second), None},
+		"answered after it":            {InTime(time.Second+AnswerGrace+1, time.Second), AnswerLate},
+		"a close at rest":              {MayClose(Connection{}), None},
+		"a close over a request":       {MayClose(Connection{RequestOpen: true}), RequestUnanswered},
+		"a close over what was read":   {MayClose(Connection{ReadAhead: 1, UnreadBytes: true}), RequestUnanswered},
+		"a close over what has come":   {MayClose(Connection{UnreadBytes: true}), CloseOverUnreadBytes},
+		"a read":                       {MayRead(false), None},
+		"a read from what is given up": {MayRead(true), ReadAfterShutdown},
+	} {
+		if c.got != c.want {
+			t.Errorf("%s: %v, want %v", name, c.got, c.want)
+		}
+	}
+}
+
+// Every violation is counted, and one line a second of each rule is logged, with the request's id.
+func TestMonitorCountsAllAndLogsFew(t *testing.T) { synctest.Test(t, testMonitor) }
+
+func testMonitor(t *testing.T) {
+	var lines bytes.Buffer
+	old := slog.Default()
+	slog.SetDefault(slog.New(slog.NewTextHandler(&lines, nil)))
+	defer slog.SetDefault(old)
+	var m Monitor
+	var all sync.WaitGroup
+	for range 20 {
+		all.Go(func() {
+			m.Violation(AnswerLate, "r1", "after", time.Second)
+			m.Deny(ReadAfterShutdown)
+			m.Misdirected(UnsafeRepeat, "r2")
+		})
+	}
+	all.Wait()
+	m.Violation(None, "r3")
+	denied, violated := m.Counts()
+	if len(denied) != 2 || denied["read_after_shutdown"] != 20 || denied["unsafe_repeat"] != 20 ||
+		len(violated) != 1 || violated["answer_late"] != 20 {
+		t.Errorf("denied %v, violated %v", denied, violated)
+	}
+	if n := strings.Count(lines.String(), "\n"); n != 2 || !strings.Contains(lines.String(), "rule=answer_late id=r1 after=1s") {
+		t.Errorf("%d lines: %s", n, lines.String())
+	}
+	names := map[string]bool{}
+	for _, r := range Rules() {
+		if names[r.String()] = true; r.String() == "" {
+			t.Errorf("rule %d has no name", r)
+		}
+	}
+	if len(names) != int(ruleCount)-1 {
+		t.Errorf("%d names for %d rules", len(names), ruleCount-1)
+	}
+}
