--- a/cmd/wayhold/process_test.go
+++ b/cmd/wayhold/process_test.go
@@ -27,6 +27,14 @@
 
 // startProcess runs the program with a configuration, and returns once it listens.
 func startProcess(t *testing.T, config string, sockets int, env ...string) *process {
+	t.Helper()
+	p, log := startLogged(t, config, sockets, env...)
+	go func() { _, _ = io.Copy(io.Discard, log) }()
+	return p
+}
+
+// startLogged is startProcess for a test that reads the rest of the log itself, or doesn't.
+func startLogged(t *testing.T, config string, sockets int, env ...string) (*process, *os.File) {
 	t.Helper()
 	path := filepath.Join(t.TempDir(), "config.json")
 	if err := os.WriteFile(path, []byte(config), 0o600); err != nil {
@@ -38,13 +46,16 @@
 	}
 	p := &process{Cmd: exec.Command("/bin/sh", "-c", "ulimit -n "+strconv.Itoa(sockets)+` && exec "$0"`, self)}
 	p.Env = append(append(os.Environ(), childVar+"=1", "ROUTER_CONFIG="+path), env...)
-	log, err := p.StderrPipe()
+	log, theirs, err := os.Pipe()
 	if err != nil {
 		t.Fatal(err)
 	}
+	t.Cleanup(func() { log.Close() })
+	p.Stderr = theirs
 	if err := p.Start(); err != nil {
 		t.Fatal(err)
 	}
+	theirs.Close()
 	t.Cleanup(func() { _ = p.Process.Kill(); _ = p.Wait() })
 	lines := bufio.NewScanner(log)
 	listens := regexp.MustCompile(`msg=(listening|"listening to operators") .*address=(\S+)`)
@@ -60,8 +71,7 @@
 	if p.addr == "" {
 		t.Fatal("the program does not say where it listens")
 	}
-	go func() { _, _ = io.Copy(io.Discard, log) }()
-	return p
+	return p, log
 }
 
 // status calls an address on a connection of its own, and returns the answer's status, or 0.
@@ -73,7 +83,7 @@
 	for i := 0; i+1 < len(headers); i += 2 {
 		req.Header.Set(headers[i], headers[i+1])
 	}
-	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}}).Do(req)
+	resp, err := (&http.Client{Transport: &http.Transport{DisableKeepAlives: true}, Timeout: long}).Do(req)
 	if err != nil {
 		return 0
 	}
