Write the log from a goroutine of its own, and outlive its reader

Cause: slog wrote each line to descriptor 2 in the goroutine that logged, most often the loop's: a full pipe held up decisions, answers and the end of the process; and Go ends a process by SIGPIPE that writes to a broken pipe on descriptor 2. Related paths: the admin listener's and net/http's lines go the same way; a panic's text is the runtime's and goes to the descriptor.

--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -12,18 +12,29 @@
 	"runtime"
 	"runtime/debug"
 	"syscall"
+	"time"
 
+	"cobaltward/internal/logging"
 	"cobaltward/internal/node"
 )
 
 // heapPart of the memory limit is the runtime's; stacks of the system and the sockets take the rest.
 const heapPart = 0.6
 
+// lastLinesWithin bounds how long the process waits at its end for its log to be taken.
+const lastLinesWithin = 200 * time.Millisecond
+
 func main() {
+	signal.Ignore(syscall.SIGPIPE) // who reads the log may go; a write then fails, and that is all
+	lines := logging.NewWriter(os.Stderr)
 	slog.SetLogLoggerLevel(slog.LevelDebug) // net/http would log a line for each server's stray byte
-	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
-	if err := run(); err != nil {
-		fmt.Fprintln(os.Stderr, "wayhold:", err)
+	slog.SetDefault(slog.New(slog.NewTextHandler(lines, nil)))
+	err := run()
+	if err != nil {
+		fmt.Fprintln(lines, "wayhold:", err)
+	}
+	lines.Flush(lastLinesWithin)
+	if err != nil {
 		os.Exit(1)
 	}
 }
--- /dev/null
+++ b/internal/syserr/syserr_test.go
@@ -0,0 +1,42 @@
+package syserr
+
+import (
+	"errors"
+	"fmt"
+	"net"
+	"os"
+	"syscall"
+	"testing"
+	"time"
+)
+
+func TestClassifyLooksThroughWrappers(t *testing.T) {
+	wrap := func(code syscall.Errno) error {
+		return fmt.Errorf("dial: %w", &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", code)})
+	}
+	for err, want := range map[error]Class{
+		wrap(syscall.EINTR): Passing, wrap(syscall.ECONNABORTED): Passing, wrap(syscall.ENOBUFS): OwnLack,
+		wrap(syscall.ENETUNREACH): OwnLack, wrap(syscall.EADDRNOTAVAIL): OwnLack, wrap(syscall.ECONNREFUSED): Peer,
+		wrap(syscall.EHOSTUNREACH): Peer, wrap(syscall.ETIMEDOUT): Peer, wrap(syscall.EBADF): Final,
+		&net.OpError{Op: "accept", Err: net.ErrClosed}: Final, errors.New("malformed"): Other, syscall.Errno(512): Other,
+	} {
+		if got := Classify(err); got != want {
+			t.Errorf("%v: %v, want %v", err, got, want)
+		}
+		if got := Passes(err); got != (want == Passing || want == OwnLack) {
+			t.Errorf("%v: passes %v", err, got)
+		}
+	}
+}
+
+func TestBackoffDoublesUpToItsMost(t *testing.T) {
+	b := Backoff{First: time.Millisecond, Most: 3 * time.Millisecond}
+	for _, want := range []time.Duration{1, 2, 3, 3} {
+		if got := b.Next(); got != want*time.Millisecond {
+			t.Errorf("%v, want %v ms", got, int64(want))
+		}
+	}
+	if b.Reset(); b.Next() != time.Millisecond {
+		t.Error("does not begin anew")
+	}
+}
