Go on accepting after every error of accept that passes

Cause: net/http's Serve goes on after errors that call themselves temporary, which are EMFILE, ENFILE, EINTR and time-outs; ENOBUFS, ENOMEM, EPROTO, EHOSTUNREACH and the rest end it, and node.Run with it: the process ends. Change: both listeners accept through acceptPatiently, which ends with a listener that is closed or none and pauses for 1 to 100 ms after all else. Related paths: the error that SyscallConn may give after an accept comes only for a connection that nobody made (read in net).

--- a/internal/node/door.go
+++ b/internal/node/door.go
@@ -117,7 +117,7 @@
 }
 
 func (l *doorListener) Accept() (net.Conn, error) {
-	conn, err := l.Listener.Accept()
+	conn, err := acceptPatiently(l.Listener)
 	if err != nil {
 		return nil, err
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -485,12 +485,12 @@
 }
 
 func (l *clients) Accept() (net.Conn, error) {
-	tcp, err := l.Listener.Accept()
+	tcp, err := acceptPatiently(l.Listener)
 	if err != nil {
 		return nil, err
 	}
 	c := &clientConn{TCPConn: tcp.(*net.TCPConn), owner: l}
-	if c.raw, err = c.TCPConn.SyscallConn(); err != nil {
+	if c.raw, err = c.TCPConn.SyscallConn(); err != nil { // only where nobody made the connection
 		c.TCPConn.Close()
 		return nil, err
 	}
