--- /dev/null
+++ b/internal/node/queued_test.go
@@ -0,0 +1,98 @@
+package node
+
+import (
+	"bufio"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"strconv"
+	"strings"
+	"testing"
+	"time"
+)
+
+// queuedRequest is the head of a request that stands behind others on its connection.
+func queuedRequest(id, more string) string {
+	return "GET /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id + "\r\nX-Class: read\r\nX-Deadline-Ms: 2000\r\n" + more + "\r\n"
+}
+
+// A request that waits behind another has used up its client's time meanwhile: its server is told what is left.
+func TestQueuedRequestIsToldWhatItsClientHasLeft(t *testing.T) {
+	const first = 100 * time.Millisecond // that the server takes for the first of them
+	told := make(chan int, 2)
+	addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		ms, _ := strconv.Atoi(r.Header.Get("X-Deadline-Ms"))
+		if told <- ms; r.Header.Get("X-Request-Id") == "r1" {
+			<-time.After(first)
+		}
+	})
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	c, err := net.Dial("tcp", node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer c.Close()
+	if _, err := io.WriteString(c, queuedRequest("r1", "")+queuedRequest("r2", "")); err != nil {
+		t.Fatal(err)
+	}
+	in := bufio.NewReader(c)
+	for range 2 {
+		resp, err := http.ReadResponse(in, nil)
+		if err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatal(resp, err)
+		}
+	}
+	receive(t, "the first request", told)
+	most := (2*time.Second - first).Milliseconds()
+	if ms := receive(t, "the second request", told); int64(ms) > most {
+		t.Errorf("the server of the second is told %d ms, of which %d are left", ms, most)
+	}
+}
+
+// A client that floods behind its request and leaves is noticed before anything else is sent for it, however much of
+// the flood nobody has read.
+func TestWhoLeavesBehindAFloodIsNoticed(t *testing.T) {
+	for _, size := range []int{30 << 10, 100 << 10, 1 << 20} {
+		t.Run(fmt.Sprint(size), func(t *testing.T) {
+			got, proceed := make(chan string, 1000), make(chan struct{})
+			addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+				got <- r.Header.Get("X-Request-Id")
+				<-proceed
+			})
+			node, all := serveNode(t, addr)
+			dialled, err := net.Dial("tcp", node)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer dialled.Close()
+			if _, err := io.WriteString(dialled, queuedRequest("r1", "")); err != nil {
+				t.Fatal(err)
+			}
+			receive(t, "the attempt", got)
+			var flood strings.Builder
+			for i := 2; flood.Len() < size; i++ {
+				flood.WriteString(queuedRequest(fmt.Sprint("r", i), "X-Pad: "+strings.Repeat("x", 200)+"\r\n"))
+			}
+			_ = dialled.SetWriteDeadline(time.Now().Add(200 * time.Millisecond)) // all of it may find no room
+			_, _ = io.WriteString(dialled, flood.String())
+			dialled.Close()
+			close(proceed)
+			await(t, "the end of the connection", func() bool { return all.left() == 0 })
+			if len(got) > 0 {
+				t.Errorf("%d more attempts, the first is %s", len(got), <-got)
+			}
+		})
+	}
+}
+
+// serveNode runs a loop that knows the server at addr, and serves clients for it.
+func serveNode(t *testing.T, addr string) (node string, all *clients) {
+	t.Helper()
+	l, err := newLoop(testConfig(t, knownList(addr)), clock{start: time.Now()}, testUpstream(t, addr))
+	if err != nil {
+		t.Fatal(err)
+	}
+	runLoop(t, l, addr)
+	return serveClients(t, l)
+}
