Rename what the connections' house words stood for in internal/node

stash is the read-ahead buffer, a request in hand is in flight, quiet is idle, giveUp tryClose, rest markIdle, spare and lent are available and borrowed descriptors, yield reclaim. No other change.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -17,18 +17,18 @@
 	owner *clients
 
 	// Under the owner's mutex.
-	place *linked.Element // among those waited for; nil while a whole request is in it
-	since time.Time       // when it last said something, or had its answer
-	began time.Time       // when its request began to come; zero before that
-	gone  bool
-	watch headWatch
-	stash []byte // read, but not let through yet
-	// inHand says that the node has a whole request. What comes behind it is read ahead and kept back, for
+	position  *linked.Element // among those waited for; nil while a whole request is in it
+	since     time.Time       // when it last said something, or had its answer
+	began     time.Time       // when its request began to come; zero before that
+	gone      bool
+	watch     headWatch
+	readAhead []byte // read, but not let through yet
+	// inFlight says that the node has a whole request. What comes behind it is read ahead and kept back, for
 	// net/http takes a byte of it for a sign of life and looks no further for the client's end.
-	inHand bool
+	inFlight bool
 
 	served bool // it has had an answer
-	spared int  // times that it was not ended for the request behind
+	kept   int  // times that it was not ended for the request behind
 }
 
 // kind tells in which order connections are closed to make room.
@@ -45,63 +45,63 @@
 	return 3
 }
 
-// rest puts a connection at the end of those waited for: it owes a request.
-func (c *clientConn) rest() {
-	c.inHand = false
+// markIdle puts a connection at the end of those waited for: it owes a request.
+func (c *clientConn) markIdle() {
+	c.inFlight = false
 	c.since, c.began = time.Now(), time.Time{}
 	if c.watch.line > 0 { // net/http looks ahead by a byte
 		c.began = c.since
 	}
-	if c.place == nil {
-		c.place = c.owner.waiting.PushBack(c)
+	if c.position == nil {
+		c.position = c.owner.waiting.PushBack(c)
 	} else {
-		c.owner.waiting.MoveToBack(c.place)
+		c.owner.waiting.MoveToBack(c.position)
 	}
 }
 
 // let returns how many bytes of what a client said go on now. With a whole head, or a whole body, the node
 // owes the next step.
 func (c *clientConn) let(p []byte) int {
-	if c.place != nil {
+	if c.position != nil {
 		c.since = time.Now()
 		if c.began.IsZero() {
 			c.began = c.since
 		}
-		c.owner.waiting.MoveToBack(c.place)
+		c.owner.waiting.MoveToBack(c.position)
 	}
 	heads, body := c.watch.heads, c.watch.body
 	n := c.watch.pass(p)
 	if c.watch.heads != heads || body > 0 && c.watch.body == 0 {
-		c.inHand = true
-		c.leaveLine() // at once: by the time that its handler runs, it might have made room for another
+		c.inFlight = true
+		c.removeIdle() // at once: by the time that its handler runs, it might have made room for another
 	}
 	return n
 }
 
-func (c *clientConn) leaveLine() {
-	if c.place != nil {
-		c.owner.waiting.Remove(c.place)
-		c.place = nil
+func (c *clientConn) removeIdle() {
+	if c.position != nil {
+		c.owner.waiting.Remove(c.position)
+		c.position = nil
 	}
 }
 
 // more tells whether a request that the node has not taken up stands behind the one in hand.
 func (c *clientConn) more() bool {
-	return len(c.stash) > 0 || c.watch.line > 0 || unread(c.TCPConn)
+	return len(c.readAhead) > 0 || c.watch.line > 0 || unread(c.TCPConn)
 }
 
-// spare tells whether the connection is to stay open though clients are sent away: for a request that has
+// keepOpen tells whether the connection is to stay open though clients are sent away: for a request that has
 // come already, but not for ever.
-func (c *clientConn) spare() bool {
+func (c *clientConn) keepOpen() bool {
 	if c == nil {
 		return false
 	}
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	if c.spared >= mostSpared || !c.more() {
+	if c.kept >= mostKept || !c.more() {
 		return false
 	}
-	c.spared++
+	c.kept++
 	return true
 }
 
@@ -126,11 +126,11 @@
 	return c.TCPConn.Close()
 }
 
-// giveUp takes a connection that the node waits for out of service, for the caller to close without the mutex,
+// tryClose takes a connection that the node waits for out of service, for the caller to close without the mutex,
 // unless something has come that nobody has read yet: a request that meets a close is turned back unheard. What comes
 // from now on is not read.
-func (c *clientConn) giveUp() bool {
-	if len(c.stash) > 0 || !quiet(c.TCPConn) {
+func (c *clientConn) tryClose() bool {
+	if len(c.readAhead) > 0 || !isIdle(c.TCPConn) {
 		return false
 	}
 	c.forget()
@@ -140,7 +140,7 @@
 // Read also notes that a request begins: net/http says so only once it has the whole head. Bytes are
 // taken under the owner's mutex, so that none are in nobody's hands when it looks for quiet connections.
 func (c *clientConn) Read(p []byte) (n int, err error) {
-	if n = c.unstash(p); n > 0 || len(p) == 0 {
+	if n = c.takeReadAhead(p); n > 0 || len(p) == 0 {
 		return n, nil
 	}
 	waited := c.raw.Read(func(fd uintptr) bool {
@@ -150,15 +150,15 @@
 		case c.gone:
 			err = net.ErrClosed
 			return true
-		case c.inHand:
-			err = c.readAhead(int(fd))
+		case c.inFlight:
+			err = c.fillReadAhead(int(fd))
 			return err != nil
 		}
 		n, err = readSocket(int(fd), p)
 		if n > 0 {
 			whole := p[:n]
 			if n = c.let(whole); n < len(whole) {
-				c.stash = append(c.stash, whole[n:]...)
+				c.readAhead = append(c.readAhead, whole[n:]...)
 			}
 		}
 		return err != syscall.EAGAIN
@@ -187,18 +187,18 @@
 	}
 }
 
-// readAhead keeps what has come behind the request in hand, and returns an error once the client has gone.
-func (c *clientConn) readAhead(fd int) error {
-	for len(c.stash) < aheadMost {
+// fillReadAhead keeps what has come behind the request in hand, and returns an error once the client has gone.
+func (c *clientConn) fillReadAhead(fd int) error {
+	for len(c.readAhead) < aheadMost {
 		var piece [4 << 10]byte
-		n, err := readSocket(fd, piece[:min(len(piece), aheadMost-len(c.stash))])
+		n, err := readSocket(fd, piece[:min(len(piece), aheadMost-len(c.readAhead))])
 		switch {
 		case err == syscall.EAGAIN:
 			return nil
 		case err != nil:
 			return err
 		}
-		c.stash = append(c.stash, piece[:n]...)
+		c.readAhead = append(c.readAhead, piece[:n]...)
 	}
 	return nil
 }
@@ -213,8 +213,8 @@
 	failed := c.raw.Control(func(fd uintptr) {
 		c.owner.mu.Lock()
 		defer c.owner.mu.Unlock()
-		if c.inHand {
-			err = c.readAhead(int(fd))
+		if c.inFlight {
+			err = c.fillReadAhead(int(fd))
 		}
 	})
 	return failed != nil || err != nil
@@ -224,7 +224,7 @@
 func (c *clientConn) complete() {
 	if c != nil {
 		c.owner.mu.Lock()
-		c.inHand = true
+		c.inFlight = true
 		c.owner.mu.Unlock()
 	}
 }
@@ -233,21 +233,21 @@
 func (c *clientConn) discard() {
 	if c != nil {
 		c.owner.mu.Lock()
-		c.inHand, c.watch.body = false, -1
+		c.inFlight, c.watch.body = false, -1
 		c.owner.mu.Unlock()
 	}
 }
 
-// unstash takes from what was read before.
-func (c *clientConn) unstash(p []byte) int {
+// takeReadAhead takes from what was read before.
+func (c *clientConn) takeReadAhead(p []byte) int {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	if len(c.stash) == 0 || c.inHand || c.gone {
+	if len(c.readAhead) == 0 || c.inFlight || c.gone {
 		return 0
 	}
-	n := c.let(p[:copy(p, c.stash)])
-	if c.stash = c.stash[n:]; len(c.stash) == 0 {
-		c.stash = nil
+	n := c.let(p[:copy(p, c.readAhead)])
+	if c.readAhead = c.readAhead[n:]; len(c.readAhead) == 0 {
+		c.readAhead = nil
 	}
 	return n
 }
@@ -264,9 +264,9 @@
 func (c *clientConn) expect(length int64) (began time.Time) {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	c.watch.body, c.inHand = length, false
-	if 0 < length && length <= wholeBody && c.place == nil && !c.gone { // others have a pace to keep
-		c.place = c.owner.waiting.PushBack(c)
+	c.watch.body, c.inFlight = length, false
+	if 0 < length && length <= wholeBody && c.position == nil && !c.gone { // others have a pace to keep
+		c.position = c.owner.waiting.PushBack(c)
 	}
 	return c.began
 }
@@ -282,14 +282,14 @@
 	case state == http.StateClosed || state == http.StateHijacked:
 		c.forget()
 	case state == http.StateIdle:
-		c.rest()
+		c.markIdle()
 	}
 	l.room.Signal()
 }
 
 // forget takes the connection out of the count.
 func (c *clientConn) forget() {
-	c.leaveLine()
+	c.removeIdle()
 	c.gone = true
 	c.owner.open--
 }
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -11,8 +11,8 @@
 // makes room by closing one of those that the node waits for: clients who connect and say nothing, stop half-way, or keep what they don't use, must not keep others out.
 type clients struct {
 	net.Listener
-	spare  func() int    // descriptors that servers leave for clients, beyond most; nil: none
-	linger time.Duration // that a connection which ends waits for its client's end
+	available func() int    // descriptors that servers leave for clients, beyond most; nil: none
+	linger    time.Duration // that a connection which ends waits for its client's end
 
 	mu      sync.Mutex
 	room    sync.Cond
@@ -45,20 +45,20 @@
 	for l.open++; l.open > l.limit() && !l.evict() && !l.closed; {
 		l.room.Wait() // each has a request in it: one will end
 	}
-	c.rest()
+	c.markIdle()
 	return c, nil
 }
 
 // limit is how many connections there may be now.
 func (l *clients) limit() int {
-	if l.spare == nil {
+	if l.available == nil {
 		return l.most
 	}
-	return l.most + max(0, l.spare())
+	return l.most + max(0, l.available())
 }
 
-// yield gives servers back a descriptor that was lent to clients, if one of these can be closed for it.
-func (l *clients) yield() bool {
+// reclaim gives servers back a descriptor that was lent to clients, if one of these can be closed for it.
+func (l *clients) reclaim() bool {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	return l.open > l.most && l.evict()
@@ -95,7 +95,7 @@
 	fresh := time.Now().Add(-freshFor)
 	for kind := range kinds {
 		for e := l.waiting.Front(); e != nil; e = e.Next() {
-			if c := e.Value.(*clientConn); c.kind(fresh) == kind && c.giveUp() {
+			if c := e.Value.(*clientConn); c.kind(fresh) == kind && c.tryClose() {
 				l.evicted++
 				l.closeAll(c)
 				return true
@@ -115,18 +115,18 @@
 	}
 }
 
-// closeQuiet closes the connections that have been without a request for a moment. One that is new, or
+// closeIdle closes the connections that have been without a request for a moment. One that is new, or
 // just had its answer, may be about to bring a request.
-func (l *clients) closeQuiet(now time.Time) {
+func (l *clients) closeIdle(now time.Time) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var given []*clientConn
 	for e := l.waiting.Front(); e != nil; {
 		c := e.Value.(*clientConn)
-		if now.Sub(c.since) < quietFor {
+		if now.Sub(c.since) < closeIdleAfter {
 			break // the others are quiet for less
 		}
-		if e = e.Next(); c.began.IsZero() && c.giveUp() {
+		if e = e.Next(); c.began.IsZero() && c.tryClose() {
 			given = append(given, c)
 		}
 	}
@@ -164,4 +164,3 @@
 	open, evicted, l.evicted = l.open, l.evicted, 0
 	return open, evicted
 }
-
--- a/internal/node/clients_test.go
+++ b/internal/node/clients_test.go
@@ -103,7 +103,7 @@
 	if _, err := io.WriteString(theirs, "GET"); err != nil {
 		t.Fatal(err)
 	}
-	await(t, "the bytes", func() bool { return !quiet(unread.TCPConn) })
+	await(t, "the bytes", func() bool { return !isIdle(unread.TCPConn) })
 	want = []*clientConn{quietFirst, quietLast, stuckLast, freshQuiet, goesOn, halfBody, freshHalf}
 	for i, c := range want {
 		l.mu.Lock()
@@ -135,7 +135,7 @@
 func TestFreeDescriptorsAreLent(t *testing.T) {
 	l, dial := testClients(t, 2)
 	u := newUpstream(testConfig(t, knownList()), 4)
-	l.spare, u.lent, u.yield = u.spare, l.borrowed, l.yield
+	l.available, u.borrowed, u.reclaim = u.available, l.borrowed, l.reclaim
 	var ours []*clientConn
 	for range 4 {
 		_, c := dial()
@@ -173,7 +173,7 @@
 func TestLentDescriptorsInUseStay(t *testing.T) {
 	l, dial := testClients(t, 1)
 	u := newUpstream(testConfig(t, knownList()), 2)
-	l.spare, u.lent, u.yield = u.spare, l.borrowed, l.yield
+	l.available, u.borrowed, u.reclaim = u.available, l.borrowed, l.reclaim
 	for i := range 2 {
 		theirs, ours := dial()
 		says(t, theirs, ours, fmt.Sprintf("GET /%d HTTP/1.1\r\nHost: a\r\n\r\n", i))
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -38,8 +38,8 @@
 func TestCloseMeetsTheReader(t *testing.T) {
 	for name, closes := range map[string]func(*clients){
 		"for room":           func(l *clients) { l.evict() },
-		"as it is sent away": func(l *clients) { l.mu.Unlock(); l.closeQuiet(time.Now().Add(time.Hour)); l.mu.Lock() },
-		"for a server":       func(l *clients) { l.most = 0; l.mu.Unlock(); l.yield(); l.mu.Lock() },
+		"as it is sent away": func(l *clients) { l.mu.Unlock(); l.closeIdle(time.Now().Add(time.Hour)); l.mu.Lock() },
+		"for a server":       func(l *clients) { l.most = 0; l.mu.Unlock(); l.reclaim(); l.mu.Lock() },
 		"as two share":       func(l *clients) { l.mu.Unlock(); l.bound(0); l.mu.Lock() },
 	} {
 		t.Run(name, func(t *testing.T) {
@@ -83,7 +83,7 @@
 	l, dial := testClients(t, 10)
 	theirs, ours := dial()
 	l.mu.Lock()
-	if !ours.giveUp() {
+	if !ours.tryClose() {
 		t.Fatal("a resting connection is not given up")
 	}
 	l.mu.Unlock()
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -41,8 +41,8 @@
 type lifecycle struct {
 	now    atomic.Int32 // the phase
 	hangUp atomic.Bool  // answers end their connections
-	// closeQuiet closes client connections that are without a request.
-	closeQuiet func(time.Time)
+	// closeIdle closes client connections that are without a request.
+	closeIdle func(time.Time)
 	// noteStandby is told when standby begins and ends; nil: nobody need know.
 	noteStandby func(on bool)
 
@@ -150,8 +150,8 @@
 		return
 	}
 	l.hangUp.Store(true)
-	if l.closeQuiet != nil {
-		l.closeQuiet(time.Now())
+	if l.closeIdle != nil {
+		l.closeIdle(time.Now())
 	}
 	time.AfterFunc(hangUpEvery, func() { l.sweep(turn) })
 }
--- a/internal/node/lifecycle_test.go
+++ b/internal/node/lifecycle_test.go
@@ -25,7 +25,7 @@
 func TestStandbySendsClientsAway(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		closed := 0
-		l := lifecycle{closeQuiet: func(time.Time) { closed++ }}
+		l := lifecycle{closeIdle: func(time.Time) { closed++ }}
 		defer l.end()
 		l.want(t, "at the start", starting, false, false)
 		l.load()
@@ -215,12 +215,12 @@
 	if _, err := io.WriteString(theirs[0], "GET"); err != nil {
 		t.Fatal(err)
 	}
-	await(t, "the bytes", func() bool { return !quiet(ours[0].(*clientConn).TCPConn) })
-	l.closeQuiet(ours[0].(*clientConn).since.Add(quietFor - 1)) // too early for both
+	await(t, "the bytes", func() bool { return !isIdle(ours[0].(*clientConn).TCPConn) })
+	l.closeIdle(ours[0].(*clientConn).since.Add(closeIdleAfter - 1)) // too early for both
 	if l.left() != 2 {
 		t.Errorf("%d connections left, want both", l.left())
 	}
-	l.closeQuiet(time.Now().Add(2 * quietFor))
+	l.closeIdle(time.Now().Add(2 * closeIdleAfter))
 	if l.left() != 1 {
 		t.Errorf("%d connections left, want the one with a request", l.left())
 	}
@@ -228,7 +228,7 @@
 	if n, err := ours[0].Read(got); string(got[:n]) != "GET" || err != nil {
 		t.Errorf("read %q, %v", got[:n], err)
 	}
-	l.closeQuiet(time.Now().Add(2 * quietFor)) // half a head is a request too
+	l.closeIdle(time.Now().Add(2 * closeIdleAfter)) // half a head is a request too
 	if l.left() != 1 {
 		t.Error("a connection was closed under a request")
 	}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,9 +58,9 @@
 	}
 	s := newServer(c, l)
 	clients := newClients(doors.Clients, most)
-	clients.spare, up.lent, up.yield = up.spare, clients.borrowed, clients.yield
+	clients.available, up.borrowed, up.reclaim = up.available, clients.borrowed, clients.reclaim
 	l.clients = clients
-	s.life.closeQuiet = clients.closeQuiet
+	s.life.closeIdle = clients.closeIdle
 	if h != nil {
 		s.life.noteStandby = h.noteStandby
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -19,20 +19,20 @@
 )
 
 const (
-	maxID         = 128 // bytes; the protocol's own ids are far shorter
-	maxDeadlineMs = 3_600_000
-	maxHeader     = 16 << 10
-	headerTimeout = 2500 * time.Millisecond // for a request's head, and the same again for its body
-	clientIdle    = 15 * time.Second        // without a request; under pressure it is less
-	writeTimeout  = 5 * time.Second         // for an answer to a client that doesn't read
-	quietFor      = 200 * time.Millisecond  // without a request, until a client that is sent away is closed
-	freshFor      = 50 * time.Millisecond   // without a request, for which a connection is held to bring one
-	streamBuffer  = 64 << 10                // bytes that the system holds of a large answer for a client
-	lingerFor     = 500 * time.Millisecond  // for the body of a request that was refused unread, or what is behind it
-	lingerBytes   = 256 << 10               // of that
-	mostSpared    = 8                       // requests behind one another on a connection that is to end
-	aheadMost     = 64 << 10                // bytes behind a request in hand that are read to see whether its client is there
-	readyPath     = "/health/ready"
+	maxID          = 128 // bytes; the protocol's own ids are far shorter
+	maxDeadlineMs  = 3_600_000
+	maxHeader      = 16 << 10
+	headerTimeout  = 2500 * time.Millisecond // for a request's head, and the same again for its body
+	clientIdle     = 15 * time.Second        // without a request; under pressure it is less
+	writeTimeout   = 5 * time.Second         // for an answer to a client that doesn't read
+	closeIdleAfter = 200 * time.Millisecond  // without a request, until a client that is sent away is closed
+	freshFor       = 50 * time.Millisecond   // without a request, for which a connection is held to bring one
+	streamBuffer   = 64 << 10                // bytes that the system holds of a large answer for a client
+	lingerFor      = 500 * time.Millisecond  // for the body of a request that was refused unread, or what is behind it
+	lingerBytes    = 256 << 10               // of that
+	mostKept       = 8                       // requests behind one another on a connection that is to end
+	aheadMost      = 64 << 10                // bytes behind a request in hand that are read to see whether its client is there
+	readyPath      = "/health/ready"
 )
 
 // exchange is one client request, which is not changed once the loop has it.
@@ -182,7 +182,7 @@
 // they may have been sent away meanwhile.
 func (s *server) answer(w http.ResponseWriter, r *http.Request, x *exchange, a answer) {
 	c := clientOf(r)
-	if s.life.endsConnections() && !c.spare() || len(r.TransferEncoding) > 0 { // behind a coding, heads go by unseen
+	if s.life.endsConnections() && !c.keepOpen() || len(r.TransferEncoding) > 0 { // behind a coding, heads go by unseen
 		w.Header().Set("Connection", "close")
 	}
 	defer c.answered()
@@ -437,4 +437,3 @@
 	w.WriteHeader(a.status)
 	_, _ = w.Write(a.body) // the client may have left; the request is over either way
 }
-
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -54,8 +54,8 @@
 	writers sync.Pool     // of *bytes.Buffer
 
 	// Clients borrow descriptors that are not in use here, and give them back; nil: there are none to lend to.
-	lent  func() int
-	yield func() bool
+	borrowed func() int
+	reclaim  func() bool
 
 	mu    sync.Mutex
 	pools map[string]*pool
@@ -196,7 +196,7 @@
 	for p := range u.rests {
 		var kept []*conn
 		for _, c := range p.idle {
-			if now.Sub(c.used) < u.idleFor && quiet(c.TCPConn) {
+			if now.Sub(c.used) < u.idleFor && isIdle(c.TCPConn) {
 				kept = append(kept, c)
 				continue
 			}
@@ -212,7 +212,7 @@
 
 // quiet tells whether a connection is open and has brought nothing that is still to be read. It
 // doesn't wait for whoever is reading.
-func quiet(c *net.TCPConn) bool {
+func isIdle(c *net.TCPConn) bool {
 	_, err := peek(c)
 	return err == syscall.EAGAIN
 }
@@ -279,13 +279,13 @@
 		return nil, nil, nil, errLeaving
 	}
 	now := time.Now()
-	for i := p.rested(now); i >= 0; i = p.rested(now) {
+	for i := p.reusable(now); i >= 0; i = p.reusable(now) {
 		c := p.idle[i]
 		last := len(p.idle) - 1
 		copy(p.idle[i:], p.idle[i+1:])
 		p.idle[last] = nil
 		u.setIdle(p, p.idle[:last])
-		if now.Sub(c.used) < u.idleFor && quiet(c.TCPConn) {
+		if now.Sub(c.used) < u.idleFor && isIdle(c.TCPConn) {
 			return p, c, p.leaving, nil
 		}
 		c.Close()
@@ -298,9 +298,9 @@
 	return p, nil, p.leaving, nil
 }
 
-// rested returns which idle connection goes first: the last used of those that rested for long, else of those that
+// reusable returns which idle connection goes first: the last used of those that rested for long, else of those that
 // rested at all; below 0: none has.
-func (p *pool) rested(now time.Time) int {
+func (p *pool) reusable(now time.Time) int {
 	for _, rest := range []time.Duration{restLong, restFor} {
 		for i := len(p.idle) - 1; i >= 0; i-- {
 			if now.Sub(p.idle[i].used) >= rest {
@@ -316,7 +316,7 @@
 	if u.open >= u.most {
 		return u.evict()
 	}
-	return u.lent == nil || u.open+u.lent() < u.most || u.yield() || u.evict()
+	return u.borrowed == nil || u.open+u.borrowed() < u.most || u.reclaim() || u.evict()
 }
 
 // count follows the number of open connections.
@@ -325,8 +325,8 @@
 	u.free.Store(int64(u.most - u.open))
 }
 
-// spare is how many descriptors clients may borrow: half of the free ones.
-func (u *upstream) spare() int { return int(u.free.Load() / 2) }
+// available is how many descriptors clients may borrow: half of the free ones.
+func (u *upstream) available() int { return int(u.free.Load() / 2) }
 
 // bound changes how many connections there may be; idle ones beyond it are closed.
 func (u *upstream) bound(most int) {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -273,7 +273,7 @@
 		u.mu.Lock()
 		defer u.mu.Unlock()
 		idle := u.pools["s0"].idle
-		return len(idle) == 0 || !quiet(u.pools["s0"].idle[0].TCPConn)
+		return len(idle) == 0 || !isIdle(u.pools["s0"].idle[0].TCPConn)
 	})
 	if r := ended(t, u, testExchange(http.MethodGet, "r2", "")); r.code != policy.OK {
 		t.Errorf("code %v", r.code)
@@ -366,7 +366,7 @@
 		await(t, "what nobody asked for", func() bool {
 			u.mu.Lock()
 			defer u.mu.Unlock()
-			return !quiet(u.pools["s0"].idle[0].TCPConn)
+			return !isIdle(u.pools["s0"].idle[0].TCPConn)
 		})
 		time.Sleep(2 * restFor)
 		if r := ended(t, u, testExchange(http.MethodGet, "r2", "")); string(r.answer.body) != "2" {
@@ -530,7 +530,7 @@
 		for _, ago := range c.ago {
 			p.idle = append(p.idle, &conn{used: now.Add(-ago)})
 		}
-		if got := p.rested(now); got != c.want {
+		if got := p.reusable(now); got != c.want {
 			t.Errorf("idle for %v: number %d goes first, want %d", c.ago, got, c.want)
 		}
 	}
