Count a request's time from when it came, and see who has left behind a flood

Causes, all of the read-ahead buffer of a client's connection: - exchange.came was the moment at which a request was taken up. One that waited behind another, in the listener's queue or for room for its body had used up its client's time, and its server was told more. The buffer now keeps when its parts came; bytes that had come before anyone looked count from the connection's newest data (TCP_INFO). - Nothing saw a close behind more than the 64 KiB that are read ahead. The socket's state is asked (POLLRDHUP) once the buffer is full; a request with 32 KiB more behind that, among which the client's end may have no room, is refused. - Found by reading, not reported: at the end of a process, or in standby, a connection was ended after eight further answers though more requests had been read from it: read and closed with no answer, so lost. What has been read is answered now, and nothing more is read ahead meanwhile. TestAllThatWasReadIsAnsweredBeforeTheEnd. - Found by reading: net/http counts a further request's head from its fourth byte, so a client that stopped after one to three stayed for 15 s, not 2.5. TestWhoStopsInAFurtherRequestIsLetGo. - net/http closed connections at their idle limit without a look at what had come just then, and read what came meanwhile to throw it away. clients.closeExpired asks MayClose first.

Each close of a resting connection and each read goes through internal/invariant now.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -5,9 +5,10 @@
 	"io"
 	"net"
 	"net/http"
-	"os"
 	"syscall"
 	"time"
+
+	"cobaltward/internal/invariant"
 )
 
 // clientConn is one connection of a client.
@@ -20,15 +21,19 @@
 	position  *linked.Element // among those waited for; nil while a whole request is in it
 	since     time.Time       // when it last said something, or had its answer
 	began     time.Time       // when its request began to come; zero before that
+	came      time.Time       // when the newest byte that was let through had come
+	headBy    time.Time       // when the head that has begun must be whole; zero: none has, or net/http sees to it
 	gone      bool
 	watch     headWatch
-	readAhead []byte // read, but not let through yet
+	readAhead readAheadBuffer // read, but not let through yet
+	fullSince time.Time       // what is read from now on may have come since then; zero: the socket was seen empty
 	// inFlight says that the node has a whole request. What comes behind it is read ahead and kept back, for
 	// net/http takes a byte of it for a sign of life and looks no further for the client's end.
 	inFlight bool
 
-	served bool // it has had an answer
-	kept   int  // times that it was not ended for the request behind
+	served   bool // it has had an answer
+	lastTurn bool // it ends once what has been read is answered: nothing more is read ahead
+	kept     int  // times that it was not ended for an unread request
 }
 
 // kind tells in which order connections are closed to make room.
@@ -48,7 +53,7 @@
 // markIdle puts a connection at the end of those waited for: it owes a request.
 func (c *clientConn) markIdle() {
 	c.inFlight = false
-	c.since, c.began = time.Now(), time.Time{}
+	c.since, c.began, c.headBy = time.Now(), time.Time{}, time.Time{}
 	if c.watch.line > 0 { // net/http looks ahead by a byte
 		c.began = c.since
 	}
@@ -59,25 +64,51 @@
 	}
 }
 
-// let returns how many bytes of what a client said go on now. With a whole head, or a whole body, the node
-// owes the next step.
-func (c *clientConn) let(p []byte) int {
+// let returns how many bytes of what a client said go on now; cameAt tells when the n-th of them came. With a whole
+// head, or a whole body, the node owes the next step.
+func (c *clientConn) let(p []byte, cameAt func(n int) time.Time) int {
 	if c.position != nil {
 		c.since = time.Now()
 		if c.began.IsZero() {
 			c.began = c.since
+			c.limitHead(cameAt(1))
 		}
 		c.owner.waiting.MoveToBack(c.position)
 	}
 	heads, body := c.watch.heads, c.watch.body
 	n := c.watch.pass(p)
+	c.came = cameAt(n)
 	if c.watch.heads != heads || body > 0 && c.watch.body == 0 {
 		c.inFlight = true
+		c.headBy = time.Time{}
 		c.removeIdle() // at once: by the time that its handler runs, it might have made room for another
 	}
 	return n
 }
 
+// limitHead bounds the time that the rest of a head may take whose first byte came then. On a connection that is used
+// again net/http begins to count with the fourth byte, and without those it waits for as long as for a new request.
+func (c *clientConn) limitHead(first time.Time) {
+	if !c.served {
+		return
+	}
+	c.headBy = first.Add(headerTimeout)
+	if least := c.began.Add(leastGrace); c.headBy.Before(least) {
+		c.headBy = least
+	}
+	_ = c.TCPConn.SetReadDeadline(c.headBy) // fails only on a connection that is gone
+}
+
+// SetReadDeadline is net/http's, which may not put off the end of a head that has begun.
+func (c *clientConn) SetReadDeadline(t time.Time) error {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if !c.headBy.IsZero() && (t.IsZero() || t.After(c.headBy)) {
+		t = c.headBy
+	}
+	return c.TCPConn.SetReadDeadline(t)
+}
+
 func (c *clientConn) removeIdle() {
 	if c.position != nil {
 		c.owner.waiting.Remove(c.position)
@@ -85,20 +116,19 @@
 	}
 }
 
-// more tells whether a request that the node has not taken up stands behind the one in hand.
-func (c *clientConn) more() bool {
-	return len(c.readAhead) > 0 || c.watch.line > 0 || unread(c.TCPConn)
-}
-
-// keepOpen tells whether the connection is to stay open though clients are sent away: for a request that has
-// come already, but not for ever.
+// keepOpen tells whether the connection is to stay open though clients are sent away: for what has been read of
+// further requests, and for a few that have come and were not read yet, but not for ever.
 func (c *clientConn) keepOpen() bool {
 	if c == nil {
 		return false
 	}
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	if c.kept >= mostKept || !c.more() {
+	switch {
+	case len(c.readAhead.bytes) > 0 || c.watch.line > 0:
+		c.lastTurn = true
+		return true
+	case c.kept >= mostKept || !unread(c.TCPConn):
 		return false
 	}
 	c.kept++
@@ -130,7 +160,10 @@
 // unless something has come that nobody has read yet: a request that meets a close is turned back unheard. What comes
 // from now on is not read.
 func (c *clientConn) tryClose() bool {
-	if len(c.readAhead) > 0 || !isIdle(c.TCPConn) {
+	denied := invariant.MayClose(invariant.Connection{RequestOpen: c.inFlight, ReadAhead: len(c.readAhead.bytes),
+		UnreadBytes: !isIdle(c.TCPConn)})
+	if denied != invariant.None {
+		c.owner.monitor.Deny(denied)
 		return false
 	}
 	c.forget()
@@ -143,81 +176,106 @@
 	if n = c.takeReadAhead(p); n > 0 || len(p) == 0 {
 		return n, nil
 	}
-	waited := c.raw.Read(func(fd uintptr) bool {
+	waited := false // for what came; else it may have come before anyone looked
+	failed := c.raw.Read(func(fd uintptr) bool {
 		c.owner.mu.Lock()
 		defer c.owner.mu.Unlock()
-		switch {
-		case c.gone:
+		if denied := invariant.MayRead(c.gone); denied != invariant.None {
+			c.owner.monitor.Deny(denied)
 			err = net.ErrClosed
 			return true
-		case c.inFlight:
-			err = c.fillReadAhead(int(fd))
+		}
+		if c.inFlight {
+			err = c.fillReadAhead(int(fd), waited)
+			waited = true
 			return err != nil
 		}
-		n, err = readSocket(int(fd), p)
-		if n > 0 {
-			whole := p[:n]
-			if n = c.let(whole); n < len(whole) {
-				c.readAhead = append(c.readAhead, whole[n:]...)
-			}
+		if n, err = readSocket(int(fd), p); n > 0 {
+			n = c.letRead(p[:n], c.arrival(int(fd), waited))
 		}
+		waited = true
 		return err != syscall.EAGAIN
 	})
 	if err == nil {
-		err = waited
+		err = failed
 	}
 	return n, err
 }
 
-// readSocket takes what has come: syscall.EAGAIN stands for nothing, and io.EOF for the client's end.
-func readSocket(fd int, p []byte) (n int, err error) {
-	for {
-		n, err = syscall.Read(fd, p)
-		switch {
-		case err == syscall.EINTR:
-		case err == syscall.EAGAIN:
-			return 0, err
-		case err != nil:
-			return 0, os.NewSyscallError("read", err)
-		case n == 0:
-			return 0, io.EOF
-		default:
-			return n, nil
-		}
+// letRead lets a part of what was read through, and keeps the rest.
+func (c *clientConn) letRead(p []byte, came time.Time) int {
+	n := c.let(p, func(int) time.Time { return came })
+	c.readAhead.append(p[n:], came)
+	return n
+}
+
+// arrival is when what was just read came, or a little earlier: just now where the reader had waited for it, and else
+// when the connection's newest bytes did, but not after the read-ahead buffer was full.
+func (c *clientConn) arrival(fd int, waited bool) time.Time {
+	now := time.Now()
+	if !c.fullSince.IsZero() {
+		return c.fullSince
 	}
+	if waited {
+		return now
+	}
+	return now.Add(-lastDataAge(fd))
 }
 
-// fillReadAhead keeps what has come behind the request in hand, and returns an error once the client has gone.
-func (c *clientConn) fillReadAhead(fd int) error {
-	for len(c.readAhead) < aheadMost {
+// fillReadAhead keeps what has come behind the request in flight, and returns an error once the client has gone.
+func (c *clientConn) fillReadAhead(fd int, waited bool) error {
+	for !c.lastTurn && len(c.readAhead.bytes) < aheadMost {
 		var piece [4 << 10]byte
-		n, err := readSocket(fd, piece[:min(len(piece), aheadMost-len(c.readAhead))])
+		n, err := readSocket(fd, piece[:min(len(piece), aheadMost-len(c.readAhead.bytes))])
 		switch {
 		case err == syscall.EAGAIN:
+			c.fullSince = time.Time{}
 			return nil
 		case err != nil:
 			return err
 		}
-		c.readAhead = append(c.readAhead, piece[:n]...)
+		c.readAhead.append(piece[:n], c.arrival(fd, waited))
+	}
+	if c.fullSince.IsZero() {
+		c.fullSince = time.Now()
+	}
+	if peerClosed(fd) { // what it sent before stands ahead of its end
+		return io.EOF
 	}
 	return nil
 }
 
-// departed tells whether the client of the request in hand has closed its connection, as far as the system knows:
-// net/http says so only once its reader has run.
-func (c *clientConn) departed() bool {
+// presence is what can be told of the client of the request in flight.
+type presence int
+
+const (
+	present presence = iota
+	departed
+	// hidden stands behind so many unread bytes that its end, if it has come to one, may not have found room among them.
+	hidden
+)
+
+// presence asks the system, for net/http tells of a client that has closed its connection only once its reader has run.
+func (c *clientConn) presence() presence {
 	if c == nil {
-		return false
+		return present
 	}
-	err := error(nil)
+	found := present
 	failed := c.raw.Control(func(fd uintptr) {
 		c.owner.mu.Lock()
 		defer c.owner.mu.Unlock()
-		if c.inFlight {
-			err = c.fillReadAhead(int(fd))
+		switch {
+		case !c.inFlight:
+		case c.fillReadAhead(int(fd), false) != nil:
+			found = departed
+		case !c.fullSince.IsZero() && unreadBytes(int(fd)) >= hidingBytes:
+			found = hidden
 		}
 	})
-	return failed != nil || err != nil
+	if failed != nil {
+		return departed
+	}
+	return found
 }
 
 // complete notes that a body whose length was not told has come whole.
@@ -242,16 +300,24 @@
 func (c *clientConn) takeReadAhead(p []byte) int {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	if len(c.readAhead) == 0 || c.inFlight || c.gone {
+	if len(c.readAhead.bytes) == 0 || c.inFlight || c.gone {
 		return 0
 	}
-	n := c.let(p[:copy(p, c.readAhead)])
-	if c.readAhead = c.readAhead[n:]; len(c.readAhead) == 0 {
-		c.readAhead = nil
-	}
+	n := c.let(p[:copy(p, c.readAhead.bytes)], c.readAhead.cameAt)
+	c.readAhead.take(n)
 	return n
 }
 
+// arrived is when the last byte of the request in flight came.
+func (c *clientConn) arrived() time.Time {
+	if c == nil {
+		return time.Now()
+	}
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	return c.came
+}
+
 // flaws are those of the head of the request in hand.
 func (c *clientConn) flaws() headFlaws {
 	c.owner.mu.Lock()
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -5,6 +5,8 @@
 	"net"
 	"sync"
 	"time"
+
+	"cobaltward/internal/invariant"
 )
 
 // clients is the listener for clients. It bounds their connections, and where they get too many it
@@ -13,6 +15,7 @@
 	net.Listener
 	available func() int    // descriptors that servers leave for clients, beyond most; nil: none
 	linger    time.Duration // that a connection which ends waits for its client's end
+	monitor   *invariant.Monitor
 
 	mu      sync.Mutex
 	room    sync.Cond
@@ -25,7 +28,7 @@
 }
 
 func newClients(l net.Listener, most int) *clients {
-	c := &clients{Listener: l, most: most, linger: lingerFor}
+	c := &clients{Listener: l, most: most, linger: lingerFor, monitor: new(invariant.Monitor)}
 	c.room.L = &c.mu
 	return c
 }
@@ -134,6 +137,25 @@
 	l.room.Signal()
 }
 
+// closeExpired closes the connections that have been without a request for as long as a node keeps them. net/http would
+// do so without a look at what has come in that moment.
+func (l *clients) closeExpired(now time.Time) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	var given []*clientConn
+	for e := l.waiting.Front(); e != nil; {
+		c := e.Value.(*clientConn)
+		if now.Sub(c.since) < clientIdle {
+			break // the others are idle for less
+		}
+		if e = e.Next(); c.served && c.began.IsZero() && c.tryClose() {
+			given = append(given, c)
+		}
+	}
+	l.closeAll(given...)
+	l.room.Signal()
+}
+
 // bound changes how many connections there may be. Those beyond it are closed as they become quiet.
 func (l *clients) bound(most int) {
 	l.mu.Lock()
--- a/internal/node/lifecycle_test.go
+++ b/internal/node/lifecycle_test.go
@@ -2,6 +2,7 @@
 
 import (
 	"bufio"
+	"bytes"
 	"fmt"
 	"io"
 	"net"
@@ -237,6 +238,15 @@
 // Clients that are sent away get the answers to all requests that have come, one behind another, and the
 // last of them ends the connection.
 func TestRequestsBehindOneAnotherAreServedBeforeTheEnd(t *testing.T) {
+	requestsBehindOneAnother(t, 3)
+}
+
+// However many of them the node has read by then.
+func TestAllThatWasReadIsAnsweredBeforeTheEnd(t *testing.T) {
+	requestsBehindOneAnother(t, 30)
+}
+
+func requestsBehindOneAnother(t *testing.T, count int) {
 	hold, held := make(chan struct{}), make(chan struct{}, 1)
 	addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
 		if r.Header.Get("X-Request-Id") == "r0" {
@@ -250,11 +260,15 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	for i := range 3 {
-		if err := clientRequest(t, node, "GET", "read", fmt.Sprint("r", i), "").Write(c); err != nil {
+	var all bytes.Buffer
+	for i := range count {
+		if err := clientRequest(t, node, "GET", "read", fmt.Sprint("r", i), "").Write(&all); err != nil {
 			t.Fatal(err)
 		}
 	}
+	if _, err := c.Write(all.Bytes()); err != nil {
+		t.Fatal(err)
+	}
 	receive(t, "the first request", held)
 	call(t, operator, "POST", "/standby")
 	other, err := net.Dial("tcp", node)
@@ -267,9 +281,9 @@
 	}
 	close(hold)
 	in := bufio.NewReader(c)
-	for i := range 3 {
+	for i := range count {
 		resp, err := http.ReadResponse(in, nil)
-		if err != nil || resp.StatusCode != 200 || resp.Close != (i == 2) {
+		if err != nil || resp.StatusCode != 200 || resp.Close != (i == count-1) {
 			t.Fatalf("answer %d: %v, %v", i, resp, err)
 		}
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -13,6 +13,7 @@
 	"time"
 
 	"cobaltward/internal/discovery"
+	"cobaltward/internal/invariant"
 	"cobaltward/policy"
 )
 
@@ -38,6 +39,9 @@
 
 func (c clock) now() policy.Time { return timeOrigin + time.Since(c.start) }
 
+// of is the module's time of a moment, which is no later than now.
+func (c clock) of(t time.Time) policy.Time { return min(c.now(), timeOrigin+t.Sub(c.start)) }
+
 func (c clock) at(t policy.Time) time.Time { return c.start.Add(t - timeOrigin) }
 
 // unix converts a server's start from Unix milliseconds; 0 stays 0, and so does what lies before the
@@ -64,7 +68,8 @@
 	allowed policy.Allowed
 	maxOpen int
 	up      *upstream
-	clients *clients // for the log
+	monitor *invariant.Monitor
+	clients *clients // nil: there are none
 	disc    *discovery.Client
 	inForce func(revision int64, at time.Time) // hears of each list that requests go by; nil: nobody does
 
@@ -146,7 +151,7 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up,
+	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up, monitor: up.monitor,
 		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}), serves: make(chan struct{}),
 		requests: make(map[string]*request), lastSent: make(map[string]sending), used: ids{seed: maphash.MakeSeed()}}
 	l.disc = discovery.New(c.following(), func(n discovery.News) { l.send(n) })
@@ -188,6 +193,9 @@
 		case <-wake.C:
 		case now := <-sweep.C:
 			l.up.sweep(now)
+			if l.clients != nil {
+				l.clients.closeExpired(now)
+			}
 		case <-summary.C:
 			open, evicted := 0, 0
 			if l.clients != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -58,6 +58,7 @@
 	}
 	s := newServer(c, l)
 	clients := newClients(doors.Clients, most)
+	clients.monitor = up.monitor
 	clients.available, up.borrowed, up.reclaim = up.available, clients.borrowed, clients.reclaim
 	l.clients = clients
 	s.life.closeIdle = clients.closeIdle
--- a/internal/node/queued_test.go
+++ b/internal/node/queued_test.go
@@ -96,3 +96,32 @@
 	runLoop(t, l, addr)
 	return serveClients(t, l)
 }
+
+// A client that stops in the first bytes of a further request is let go as soon as one that stops in its first, and not
+// only once a connection without a request would be.
+func TestWhoStopsInAFurtherRequestIsLetGo(t *testing.T) {
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) {})
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	for _, part := range []string{"G", "GET", "GET /api HTTP/1.1\r\nHo"} {
+		c, err := net.Dial("tcp", node)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		if _, err := io.WriteString(c, queuedRequest("r"+strconv.Itoa(len(part)), "")); err != nil {
+			t.Fatal(err)
+		}
+		in := bufio.NewReader(c)
+		if resp, err := http.ReadResponse(in, nil); err != nil || resp.StatusCode != http.StatusOK {
+			t.Fatal(resp, err)
+		}
+		began := time.Now()
+		if _, err := io.WriteString(c, part); err != nil {
+			t.Fatal(err)
+		}
+		_, _ = io.ReadAll(in) // to the connection's end
+		if d := time.Since(began); d > clientIdle/2 {
+			t.Errorf("after %q it is let go after %v", part, d)
+		}
+	}
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -15,6 +15,7 @@
 	"sync"
 	"time"
 
+	"cobaltward/internal/invariant"
 	"cobaltward/policy"
 )
 
@@ -31,6 +32,7 @@
 	lingerFor      = 500 * time.Millisecond  // for the body of a request that was refused unread, or what is behind it
 	lingerBytes    = 256 << 10               // of that
 	mostKept       = 8                       // requests behind one another on a connection that is to end
+	hidingBytes    = 32 << 10                // unread bytes behind a full read-ahead buffer, among which a client's end has no room
 	aheadMost      = 64 << 10                // bytes behind a request in hand that are read to see whether its client is there
 	readyPath      = "/health/ready"
 )
@@ -50,6 +52,7 @@
 	came        policy.Time // when its last byte had been read, or the beginning of a large body
 	clientWaits time.Duration
 	reply       chan answer // holds one, so the loop never waits for the client
+	client      *clientConn // that it came on; nil where others accepted it
 }
 
 // answer is what a client gets.
@@ -85,7 +88,8 @@
 		s.classes[class.Name] = class
 	}
 	s.http = http.Server{
-		Handler: s, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: clientIdle,
+		Handler: s, MaxHeaderBytes: maxHeader, ReadHeaderTimeout: headerTimeout, IdleTimeout: -1, // clients.closeExpired sees to it
+
 		DisableGeneralOptionsHandler: true,
 		ConnContext: func(ctx context.Context, c net.Conn) context.Context {
 			return context.WithValue(ctx, clientKey{}, c)
@@ -140,8 +144,15 @@
 		return
 	}
 	defer x.claim.free()
-	if x.rest == nil && c.departed() { // while it was read, or waited for room
-		panic(http.ErrAbortHandler)
+	if x.rest == nil { // while it was read, or waited for room or for its turn
+		switch c.presence() {
+		case departed:
+			panic(http.ErrAbortHandler)
+		case hidden:
+			s.loop.monitor.Deny(invariant.AttemptAfterDeparture)
+			s.answer(w, r, x, answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter})
+			return
+		}
 	}
 	var broken <-chan struct{}
 	if x.rest != nil {
@@ -358,7 +369,8 @@
 	x.req = policy.Request{ID: id, Class: class.Name, Tenant: h.Get("X-Tenant"), Key: h.Get("X-Key"),
 		Hint: time.Duration(hint) * time.Microsecond, Retry: h.Get("X-Retry") == "1"}
 	x.url, x.host, x.key, x.contentType = r.URL, r.Host, h.Get("Idempotency-Key"), h.Get("Content-Type")
-	x.came, x.reply = s.loop.clock.now(), make(chan answer, 1)
+	x.client, x.reply = clientOf(r), make(chan answer, 1)
+	x.came = s.loop.clock.of(x.client.arrived())
 	// No client waits longer than its class allows, whatever it says.
 	x.clientWaits = min(time.Duration(waits)*time.Millisecond, class.Deadline)
 	return x, 0, ""
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -16,6 +16,7 @@
 	"time"
 
 	"cobaltward/internal/discovery"
+	"cobaltward/internal/invariant"
 	"cobaltward/policy"
 )
 
@@ -50,8 +51,9 @@
 	idleFor time.Duration // an idle connection is dropped after this
 	report  []string      // names of the figures of a load report, in order
 	room    *room         // for bodies
-	readers sync.Pool     // of *bufio.Reader
-	writers sync.Pool     // of *bytes.Buffer
+	monitor *invariant.Monitor
+	readers sync.Pool // of *bufio.Reader
+	writers sync.Pool // of *bytes.Buffer
 
 	// Clients borrow descriptors that are not in use here, and give them back; nil: there are none to lend to.
 	borrowed func() int
@@ -96,7 +98,7 @@
 	u := &upstream{
 		dial:    (&net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1}).DialContext,
 		idleFor: idle / 2, // what is written just as the server closes would end as a reset
-		report:  c.Settings.Report, room: newRoom(c.MemoryMB, c.Cores), pools: make(map[string]*pool),
+		report:  c.Settings.Report, monitor: new(invariant.Monitor), room: newRoom(c.MemoryMB, c.Cores), pools: make(map[string]*pool),
 		rests: make(map[*pool]struct{}), at: make(map[string]string), most: most,
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		writers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
@@ -210,34 +212,6 @@
 // close drops all idle connections; those in use end with their attempts.
 func (u *upstream) close() { u.update(discovery.News{Kind: policy.ListReplace}) }
 
-// quiet tells whether a connection is open and has brought nothing that is still to be read. It
-// doesn't wait for whoever is reading.
-func isIdle(c *net.TCPConn) bool {
-	_, err := peek(c)
-	return err == syscall.EAGAIN
-}
-
-// unread tells whether a connection has brought something that is still to be read.
-func unread(c *net.TCPConn) bool {
-	n, _ := peek(c)
-	return n > 0
-}
-
-// peek looks at what has come, and leaves it there.
-func peek(c *net.TCPConn) (n int, err error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	if failed := raw.Control(func(fd uintptr) {
-		var b [1]byte
-		n, _, err = syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
-	}); failed != nil {
-		return 0, failed
-	}
-	return n, err
-}
-
 // acquire takes an idle connection to the server, or makes one. It gives up as soon as the server begins
 // to leave, or the client has left: both count against a request's first byte, and a connection may come up late.
 func (u *upstream) acquire(ctx, left context.Context, id string) (*conn, error) {
@@ -571,8 +545,7 @@
 		return
 	}
 	_ = raw.Read(func(fd uintptr) bool { // whatever ends it shows at the next read
-		var b [1]byte
-		_, _, err := syscall.Recvfrom(int(fd), b[:], syscall.MSG_PEEK|syscall.MSG_DONTWAIT)
+		_, err := peekSocket(int(fd))
 		return err != syscall.EAGAIN
 	})
 }
