--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -321,3 +321,6 @@
 	l.Clients, l.Servers = s.clients.bounded(), s.up.bounded()
 	return l
 }
+
+// noteAgain does nothing yet.
+func (h *handover) noteAgain() {}
--- a/internal/node/handover_faults_test.go
+++ b/internal/node/handover_faults_test.go
@@ -3,6 +3,7 @@
 import (
 	"errors"
 	"os"
+	"path/filepath"
 	"syscall"
 	"testing"
 	"time"
@@ -61,3 +62,61 @@
 		t.Error("one of the two counts as dead")
 	}
 }
+
+// A folder that fails for a while keeps nobody from hearing, once it works again, what operators said meanwhile.
+func TestStandbyIsNotedOnceTheFolderWorksAgain(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "shared")
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	old, err := join(dir)
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer old.leave()
+	life := &lifecycle{noteStandby: old.noteStandby}
+	defer life.end()
+	life.load()
+	for _, on := range []bool{true, false} {
+		if err := os.Rename(dir, dir+"-away"); err != nil {
+			t.Fatal(err)
+		}
+		if on {
+			life.standBy()
+		} else if err := life.activate(); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(dir+"-away", dir); err != nil {
+			t.Fatal(err)
+		}
+		old.noteAgain()
+		if err := old.write(legacy{Saved: time.Now()}); err != nil {
+			t.Fatal(err)
+		}
+		if left, err := old.read(old.id, time.Now()); err != nil || left.Standby != on {
+			t.Errorf("a successor hears of standby %v, %v; want %v", left.Standby, err, on)
+		}
+	}
+}
+
+// The word of the process before is as old as its time on the machine's own clock, wherever the wall clock was stepped.
+func TestStepsOfTheWallClockDoNotAgeTheWord(t *testing.T) {
+	for _, step := range []time.Duration{-time.Hour, -5 * time.Second, 5 * time.Second, time.Hour} {
+		h, err := join(t.TempDir())
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer h.leave()
+		if err := h.write(legacy{Saved: time.Now().Add(-step), Revision: 7}); err != nil {
+			t.Fatal(err)
+		}
+		left, err := h.read(h.id, time.Now())
+		if err != nil || left.Revision != 7 {
+			t.Errorf("after a step by %v: %+v, %v", step, left, err)
+			continue
+		}
+		if age := time.Since(left.Saved); age < 0 || age > rememberFor {
+			t.Errorf("after a step by %v it is %v old", step, age)
+		}
+	}
+}
