--- /dev/null
+++ b/internal/node/shared.go
@@ -0,0 +1,110 @@
+package node
+
+import (
+	"context"
+	"log/slog"
+	"runtime/debug"
+	"time"
+
+	"cobaltward/internal/discovery"
+)
+
+// shared is what the two processes of a node divide while there are two: each works within its own part, so
+// that together they stay within the node's limits.
+type shared struct {
+	*handover
+	loop    *loop
+	life    *lifecycle
+	clients *clients
+	up      *upstream
+
+	clientSockets, serverSockets int // of a process that is alone
+	ownSockets                   int // what each needs for itself
+
+	before int64 // the process that came before; 0 once it is gone
+	heard  int64 // the revision of its list that was last taken over
+	halved bool
+	wrote  time.Time
+}
+
+// run keeps to the limits, and leaves word for a successor, until ctx ends.
+func (s *shared) run(ctx context.Context) {
+	tick := time.NewTicker(followEvery)
+	defer tick.Stop()
+	for {
+		s.step(time.Now())
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+	}
+}
+
+func (s *shared) step(now time.Time) {
+	if s.before != 0 && !held(s.path(s.before, lockSuffix)) {
+		s.before = 0
+	}
+	next := s.succeeded()
+	s.halve(s.before != 0 || next)
+	switch {
+	case s.before != 0:
+		old, err := s.read(s.before, now)
+		if err != nil { // its word counts once it has one
+			old.Clients, old.Servers = s.clientSockets/2, s.serverSockets/2
+		} else if old.Revision != s.heard { // what it was told, this node was told
+			s.heard = old.Revision
+			s.loop.send(bequeathed{discovery.List{Revision: old.Revision, Complete: true, Members: old.Members}})
+		}
+		s.clients.bound(max(leastOfEach, s.clientSockets-old.Clients-s.ownSockets/2))
+		s.up.bound(max(leastOfEach, s.serverSockets-old.Servers-s.ownSockets/2))
+	case next:
+		s.giveWay()
+	default:
+		s.clients.bound(s.clientSockets)
+		s.up.bound(s.serverSockets)
+	}
+	if next || now.Sub(s.wrote) >= rememberEvery {
+		s.wrote = now
+		if err := s.write(s.legacy(now)); err != nil {
+			slog.Warn("handover: nothing is left to a successor", "err", err)
+		}
+	}
+}
+
+// giveWay keeps an old process to what it has open: to half until it is told to end, and from then on
+// to what its clients still need.
+func (s *shared) giveWay() {
+	clients, servers := s.clientSockets/2, s.serverSockets/2
+	if s.life.phase() == closing {
+		clients, servers = 0, 0
+	}
+	open := s.clients.left()
+	s.clients.bound(max(clients, open))
+	s.up.bound(max(servers, open+leastOfEach))
+}
+
+// halve divides the heap while there are two processes.
+func (s *shared) halve(two bool) {
+	if two == s.halved {
+		return
+	}
+	s.halved = two
+	limit, n := debug.SetMemoryLimit(-1), 1
+	if two {
+		limit /= 2
+		n = 2
+	} else {
+		limit *= 2
+	}
+	s.loop.send(processes(n))
+	debug.SetMemoryLimit(limit)
+	slog.Info("handover", "two_processes", two, "heap_limit", limit)
+}
+
+func (s *shared) legacy(now time.Time) legacy {
+	l := s.loop.legacy()
+	l.Saved, l.Standby = now, s.life.phase() == standby
+	l.Clients, l.Servers = s.clients.bounded(), s.up.bounded()
+	return l
+}
