--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -220,7 +220,7 @@
 		x.came, x.clientWaits = l.clock.now(), long
 		l.send(arrival{x})
 		a := receive(t, "the answer", x.reply)
-		l.legacy() // the loop has gone through what came before
+		l.snapshot() // the loop has gone through what came before
 		if a.status != c.status || fmt.Sprint(outcomes) != fmt.Sprint(c.want) || whole.Load() != c.whole {
 			t.Errorf("%d, outcomes %q, %d whole; want %d, %q, %d", a.status, outcomes, whole.Load(), c.status, c.want, c.whole)
 		}
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -261,7 +261,7 @@
 	defer life.end()
 	life.load()
 	for _, on := range []bool{true, false, true} {
-		if err := h.write(legacy{Saved: time.Now(), Standby: !on}); err != nil { // as it was before
+		if err := h.write(snapshot{Saved: time.Now(), Standby: !on}); err != nil { // as it was before
 			t.Fatal(err)
 		}
 		if on {
--- a/internal/node/freshness_test.go
+++ b/internal/node/freshness_test.go
@@ -261,7 +261,7 @@
 
 // drains tells whether the node knows that s0 is leaving.
 func drains(l *loop) bool {
-	for _, m := range l.legacy().Members {
+	for _, m := range l.snapshot().Members {
 		if m.Server == "s0" {
 			return m.Availability != policy.Running
 		}
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -14,8 +14,8 @@
 
 const (
 	handoverVersion = 1
-	rememberEvery   = 250 * time.Millisecond // what a successor should know is written
-	rememberFor     = 3 * time.Second        // and holds
+	snapshotEvery   = 250 * time.Millisecond // what a successor should know is written
+	snapshotFor     = 3 * time.Second        // and holds
 	followEvery     = 50 * time.Millisecond  // looks at the other process while there are two
 	maxHandover     = 4 << 20                // bytes of it
 	leastOfEach     = 8                      // connections on each side that a process has in any case
@@ -132,8 +132,8 @@
 }
 
 // write leaves word for a successor, whole or not at all.
-func (h *handover) write(l legacy) error {
-	raw, err := encodeLegacy(l)
+func (h *handover) write(l snapshot) error {
+	raw, err := encodeSnapshot(l)
 	if err != nil {
 		return err
 	}
@@ -145,17 +145,17 @@
 }
 
 // read takes in what a process left, if it is whole and fresh.
-func (h *handover) read(id int64, now time.Time) (legacy, error) {
+func (h *handover) read(id int64, now time.Time) (snapshot, error) {
 	f, err := os.Open(h.path(id, stateSuffix))
 	if err != nil {
-		return legacy{}, err
+		return snapshot{}, err
 	}
 	defer f.Close()
 	raw, err := io.ReadAll(io.LimitReader(f, maxHandover)) // the checksum tells if that isn't all
 	if err != nil {
-		return legacy{}, err
+		return snapshot{}, err
 	}
-	l, err := decodeLegacy(raw, now)
+	l, err := decodeSnapshot(raw, now)
 	if err == nil {
 		_, none := os.Stat(h.path(id, standbySuffix))
 		l.Standby = none == nil
--- a/internal/node/handover_faults_test.go
+++ b/internal/node/handover_faults_test.go
@@ -36,7 +36,7 @@
 		t.Fatal(err)
 	}
 	defer old.leave()
-	if err := old.write(legacy{Saved: time.Now(), Revision: 7}); err != nil {
+	if err := old.write(snapshot{Saved: time.Now(), Revision: 7}); err != nil {
 		t.Fatal(err)
 	}
 	next, err := join(dir)
@@ -90,7 +90,7 @@
 			t.Fatal(err)
 		}
 		old.noteAgain()
-		if err := old.write(legacy{Saved: time.Now()}); err != nil {
+		if err := old.write(snapshot{Saved: time.Now()}); err != nil {
 			t.Fatal(err)
 		}
 		if left, err := old.read(old.id, time.Now()); err != nil || left.Standby != on {
@@ -107,7 +107,7 @@
 			t.Fatal(err)
 		}
 		defer h.leave()
-		if err := h.write(legacy{Saved: time.Now().Add(-step), Revision: 7}); err != nil {
+		if err := h.write(snapshot{Saved: time.Now().Add(-step), Revision: 7}); err != nil {
 			t.Fatal(err)
 		}
 		left, err := h.read(h.id, time.Now())
@@ -115,7 +115,7 @@
 			t.Errorf("after a step by %v: %+v, %v", step, left, err)
 			continue
 		}
-		if age := time.Since(left.Saved); age < 0 || age > rememberFor {
+		if age := time.Since(left.Saved); age < 0 || age > snapshotFor {
 			t.Errorf("after a step by %v it is %v old", step, age)
 		}
 	}
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -16,27 +16,27 @@
 	"cobaltward/policy"
 )
 
-func testLegacy(t *testing.T, now time.Time) legacy {
-	return legacy{Saved: now, Standby: true, Revision: 12, Members: members(t, "127.0.0.1:7", "127.0.0.1:8"), Clients: 5,
+func testSnapshot(t *testing.T, now time.Time) snapshot {
+	return snapshot{Saved: now, Standby: true, Revision: 12, Members: members(t, "127.0.0.1:7", "127.0.0.1:8"), Clients: 5,
 		Servers: 6, Policy: policy.Memory{Pace: 1.5, Buckets: []policy.BucketMemory{{Tenant: "t", Tokens: 3, Age: 1}}}}
 }
 
 // What was left is read again as it was; what is stale, cut short, of another version or spoilt is not.
-func TestLegacyIsReadWholeOrNotAtAll(t *testing.T) {
+func TestSnapshotIsReadWholeOrNotAtAll(t *testing.T) {
 	now := time.Unix(1_800_000_000, 0)
-	raw, err := encodeLegacy(testLegacy(t, now))
+	raw, err := encodeSnapshot(testSnapshot(t, now))
 	if err != nil {
 		t.Fatal(err)
 	}
-	got, err := decodeLegacy(raw, now.Add(time.Second))
-	if err != nil || fmt.Sprint(got) != fmt.Sprint(testLegacy(t, now.In(got.Saved.Location()))) {
+	got, err := decodeSnapshot(raw, now.Add(time.Second))
+	if err != nil || fmt.Sprint(got) != fmt.Sprint(testSnapshot(t, now.In(got.Saved.Location()))) {
 		t.Errorf("got %v, %v", got, err)
 	}
 	spoilt := bytes.Clone(raw)
 	spoilt[len(spoilt)/2] ^= 1
-	noAddress := testLegacy(t, now)
+	noAddress := testSnapshot(t, now)
 	noAddress.Members[0].Addr = "nowhere"
-	bad, err := encodeLegacy(noAddress)
+	bad, err := encodeSnapshot(noAddress)
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -44,8 +44,8 @@
 		raw []byte
 		at  time.Time
 	}{
-		"stale":         {raw, now.Add(rememberFor + 1)},
-		"of the future": {raw, now.Add(-rememberFor - 1)},
+		"stale":         {raw, now.Add(snapshotFor + 1)},
+		"of the future": {raw, now.Add(-snapshotFor - 1)},
 		"cut short":     {raw[:len(raw)-1], now},
 		"longer":        {append(bytes.Clone(raw), ' '), now},
 		"empty":         {nil, now},
@@ -53,20 +53,20 @@
 		"other version": {bytes.Replace(raw, []byte("wayhold 1 "), []byte("wayhold 2 "), 1), now},
 		"no address":    {bad, now},
 	} {
-		if got, err := decodeLegacy(c.raw, c.at); err == nil {
+		if got, err := decodeSnapshot(c.raw, c.at); err == nil {
 			t.Errorf("%s: taken for %v", name, got)
 		}
 	}
 }
 
-func FuzzLegacy(f *testing.F) {
+func FuzzSnapshot(f *testing.F) {
 	f.Add([]byte("wayhold 1 00000000\n"))
 	f.Add([]byte(`{"Saved":"2026-01-01T00:00:00Z","Members":[{"Server":"a","Addr":"127.0.0.1:1"}]}`))
 	f.Fuzz(func(t *testing.T, raw []byte) {
 		now := time.Unix(1_800_000_000, 0)
-		_, _ = decodeLegacy(raw, now)
+		_, _ = decodeSnapshot(raw, now)
 		// With a checksum that fits, the rest is looked at too, and what passes can be put to use.
-		l, err := decodeLegacy(append([]byte(fmt.Sprintf("wayhold 1 %08x\n", checksum(raw))), raw...), now)
+		l, err := decodeSnapshot(append([]byte(fmt.Sprintf("wayhold 1 %08x\n", checksum(raw))), raw...), now)
 		if err != nil {
 			return
 		}
@@ -75,7 +75,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		b.Recall(timeOrigin, l.Policy, 0)
+		b.Restore(timeOrigin, l.Policy, 0)
 		b.Handle(timeOrigin, policy.Request{ID: "r", Class: "read", Tenant: "t", ExpiresIn: time.Second})
 	})
 }
@@ -90,7 +90,7 @@
 func TestDeadPredecessorsAreCleared(t *testing.T) {
 	dir := t.TempDir()
 	now := time.Now()
-	raw, err := encodeLegacy(testLegacy(t, now))
+	raw, err := encodeSnapshot(testSnapshot(t, now))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -122,7 +122,7 @@
 	if _, err := second.read(first.id, now); err == nil {
 		t.Error("read what nobody wrote")
 	}
-	if err := first.write(testLegacy(t, now)); err != nil {
+	if err := first.write(testSnapshot(t, now)); err != nil {
 		t.Fatal(err)
 	}
 	first.noteStandby(true)
@@ -320,14 +320,14 @@
 	now := time.Now()
 	hears := func(revision int64, phase policy.Availability) {
 		t.Helper()
-		left := legacy{Saved: now, Revision: revision, Members: []discovery.Member{phased(t, "127.0.0.1:9", phase)}}
+		left := snapshot{Saved: now, Revision: revision, Members: []discovery.Member{phased(t, "127.0.0.1:9", phase)}}
 		if err := first.write(left); err != nil {
 			t.Fatal(err)
 		}
 		next.step(now)
 		next.step(now)
 	}
-	phase := func() policy.Availability { return l.legacy().Members[0].Availability }
+	phase := func() policy.Availability { return l.snapshot().Members[0].Availability }
 	hears(8, policy.Draining)
 	if phase() != policy.Draining {
 		t.Error("the new process doesn't know of the drain that the old one heard of")
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -138,12 +138,12 @@
 		n int
 		result
 	}
-	processes int      // that this node has
-	finish    struct{} // fail what is still open, for the node stops
-	bequest   struct { // asks what a successor should know
-		reply chan legacy
+	processes       int      // that this node has
+	finish          struct{} // fail what is still open, for the node stops
+	snapshotRequest struct { // asks what a successor should know
+		reply chan snapshot
 	}
-	bequeathed struct{ discovery.List } // as the process before has it by now
+	restoredSnapshot struct{ discovery.List } // as the process before has it by now
 )
 
 func newLoop(c Config, ck clock, up *upstream) (*loop, error) {
@@ -247,14 +247,14 @@
 	case discovery.News:
 		l.heard = l.heard || e.Kind == policy.ListReplace || e.Kind == policy.ListUpdate
 		l.listed(ctx, e)
-	case bequeathed: // until discovery is heard, which knows better
+	case restoredSnapshot: // until discovery is heard, which knows better
 		if !l.heard && e.Revision != l.listedAt && len(e.Members) > 0 {
 			l.listed(ctx, discovery.News{Kind: policy.ListReplace, Members: e.Members, Revision: e.Revision})
 		}
-	case bequest:
-		left := legacy{Revision: l.listedAt, Members: slices.Collect(maps.Values(l.members))}
+	case snapshotRequest:
+		left := snapshot{Revision: l.listedAt, Members: slices.Collect(maps.Values(l.members))}
 		if m, ok := l.module.(*policy.Balancer); ok {
-			left.Policy = m.Remember(l.clock.now())
+			left.Policy = m.Snapshot(l.clock.now())
 		}
 		e.reply <- left
 	case processes:
@@ -416,15 +416,15 @@
 	}
 }
 
-// legacy is what a successor should know of the servers and of the module's state.
-func (l *loop) legacy() legacy {
-	reply := make(chan legacy, 1)
-	l.send(bequest{reply})
+// snapshot is what a successor should know of the servers and of the module's state.
+func (l *loop) snapshot() snapshot {
+	reply := make(chan snapshot, 1)
+	l.send(snapshotRequest{reply})
 	select {
 	case left := <-reply:
 		return left
 	case <-l.done:
-		return legacy{}
+		return snapshot{}
 	}
 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -54,7 +54,7 @@
 		return err
 	}
 	if m, ok := l.module.(*policy.Balancer); ok {
-		m.Recall(ck.now(), old.Policy, time.Since(old.Saved))
+		m.Restore(ck.now(), old.Policy, time.Since(old.Saved))
 	}
 	s := newServer(c, l)
 	clients := newClients(doors.Clients, most)
@@ -136,22 +136,22 @@
 }
 
 // succeed takes this process's place among the node's, and what the one before it has left.
-func succeed(c *Config) (*handover, legacy) {
+func succeed(c *Config) (*handover, snapshot) {
 	if c.Handover == "" {
-		return nil, legacy{}
+		return nil, snapshot{}
 	}
 	h, err := join(c.Handover)
 	if err != nil { // it can serve all the same, and the clients' socket is there
 		slog.Warn("handover: none, for the folder is of no use", "err", err)
-		return nil, legacy{}
+		return nil, snapshot{}
 	}
 	if h.before == 0 {
-		return h, legacy{}
+		return h, snapshot{}
 	}
 	old, err := h.read(h.before, time.Now())
 	if err != nil {
 		slog.Warn("handover: starting without the old process's word", "err", err)
-		return h, legacy{}
+		return h, snapshot{}
 	}
 	slog.Info("handover: taking over", "servers", len(old.Members), "revision", old.Revision, "standby", old.Standby,
 		"age", time.Since(old.Saved))
--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -38,8 +38,8 @@
 	}
 	defer h.leave()
 	now := time.Now()
-	left := legacy{Saved: now, Revision: l.listedAt, Members: slices.Collect(maps.Values(l.members)),
-		Policy: l.module.(*policy.Balancer).Remember(l.clock.now())}
+	left := snapshot{Saved: now, Revision: l.listedAt, Members: slices.Collect(maps.Values(l.members)),
+		Policy: l.module.(*policy.Balancer).Snapshot(l.clock.now())}
 	if err := h.write(left); err != nil {
 		t.Fatal(err)
 	}
@@ -182,8 +182,8 @@
 			l := manyLoop(b, n)
 			l.listed(b.Context(), discovery.News{Kind: policy.ListReplace, Members: manyMembers(n)})
 			for b.Loop() {
-				left := legacy{Members: manyMembers(n), Policy: l.module.(*policy.Balancer).Remember(l.clock.now())}
-				raw, err := encodeLegacy(left)
+				left := snapshot{Members: manyMembers(n), Policy: l.module.(*policy.Balancer).Snapshot(l.clock.now())}
+				raw, err := encodeSnapshot(left)
 				if err != nil {
 					b.Fatal(err)
 				}
--- a/internal/node/shared.go
+++ b/internal/node/shared.go
@@ -54,7 +54,7 @@
 			old.Clients, old.Servers = s.clientSockets/2, s.serverSockets/2
 		} else if old.Revision != s.heard { // what it was told, this node was told
 			s.heard = old.Revision
-			s.loop.send(bequeathed{discovery.List{Revision: old.Revision, Complete: true, Members: old.Members}})
+			s.loop.send(restoredSnapshot{discovery.List{Revision: old.Revision, Complete: true, Members: old.Members}})
 		}
 		s.clients.bound(max(leastOfEach, s.clientSockets-old.Clients-s.ownSockets/2))
 		s.up.bound(max(leastOfEach, s.serverSockets-old.Servers-s.ownSockets/2))
@@ -64,9 +64,9 @@
 		s.clients.bound(s.clientSockets)
 		s.up.bound(s.serverSockets)
 	}
-	if next || now.Sub(s.wrote) >= rememberEvery {
+	if next || now.Sub(s.wrote) >= snapshotEvery {
 		s.wrote = now
-		if err := s.write(s.legacy(now)); err != nil {
+		if err := s.write(s.snapshot(now)); err != nil {
 			slog.Warn("handover: nothing is left to a successor", "err", err)
 		}
 	}
@@ -102,8 +102,8 @@
 	slog.Info("handover", "two_processes", two, "heap_limit", limit)
 }
 
-func (s *shared) legacy(now time.Time) legacy {
-	l := s.loop.legacy()
+func (s *shared) snapshot(now time.Time) snapshot {
+	l := s.loop.snapshot()
 	l.Saved, l.Standby = now, s.life.phase() == standby
 	l.Clients, l.Servers = s.clients.bounded(), s.up.bounded()
 	return l
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -13,8 +13,8 @@
 	"cobaltward/policy"
 )
 
-// legacy is what a process leaves to its successor.
-type legacy struct {
+// snapshot is what a process leaves to its successor.
+type snapshot struct {
 	Saved    time.Time
 	Standby  bool
 	Revision int64
@@ -24,8 +24,8 @@
 	Clients, Servers int
 }
 
-// encodeLegacy writes one line with the version and a checksum, and the rest as JSON.
-func encodeLegacy(l legacy) ([]byte, error) {
+// encodeSnapshot writes one line with the version and a checksum, and the rest as JSON.
+func encodeSnapshot(l snapshot) ([]byte, error) {
 	raw, err := json.Marshal(l)
 	if err != nil {
 		return nil, err
@@ -36,28 +36,28 @@
 
 func checksum(raw []byte) uint32 { return crc32.ChecksumIEEE(raw) }
 
-func decodeLegacy(raw []byte, now time.Time) (legacy, error) {
+func decodeSnapshot(raw []byte, now time.Time) (snapshot, error) {
 	head, raw, _ := bytes.Cut(raw, []byte("\n"))
 	if want := fmt.Sprintf("wayhold %d %08x", handoverVersion, checksum(raw)); string(head) != want {
-		return legacy{}, fmt.Errorf("begins with %.40q, want %q", head, want)
+		return snapshot{}, fmt.Errorf("begins with %.40q, want %q", head, want)
 	}
-	var l legacy
+	var l snapshot
 	if err := json.Unmarshal(raw, &l); err != nil {
-		return legacy{}, err
+		return snapshot{}, err
 	}
-	if age := now.Sub(l.Saved); age > rememberFor || age < -rememberFor {
-		return legacy{}, fmt.Errorf("written %v ago", age)
+	if age := now.Sub(l.Saved); age > snapshotFor || age < -snapshotFor {
+		return snapshot{}, fmt.Errorf("written %v ago", age)
 	}
 	for i, m := range l.Members {
 		if m.Server == "" || m.Availability > policy.Removed || m.UpSince < 0 || m.UpSince >= 1<<53 {
-			return legacy{}, fmt.Errorf("members[%d] makes no sense", i)
+			return snapshot{}, fmt.Errorf("members[%d] makes no sense", i)
 		}
 		if err := field.CheckAddress(m.Addr); err != nil {
-			return legacy{}, fmt.Errorf("members[%d]: %w", i, err)
+			return snapshot{}, fmt.Errorf("members[%d]: %w", i, err)
 		}
 	}
 	if l.Clients < 0 || l.Servers < 0 {
-		return legacy{}, errors.New("connections below 0")
+		return snapshot{}, errors.New("connections below 0")
 	}
 	return l, nil
 }
--- a/policy/buckets.go
+++ b/policy/buckets.go
@@ -71,9 +71,9 @@
 	}
 }
 
-// rememberBuckets is what a successor should know of buckets. It is asked for several times a second, so it is no
+// snapshotBuckets is what a successor should know of buckets. It is asked for several times a second, so it is no
 // longer than it was for maxBuckets and the shared one; the empty ones come first, for only those refuse at once.
-func (b *Balancer) rememberBuckets(now Time) (all []BucketMemory) {
+func (b *Balancer) snapshotBuckets(now Time) (all []BucketMemory) {
 	add := func(k *bucket) {
 		all = append(all, BucketMemory{Tenant: k.key.tenant, Class: k.key.class, Tokens: k.tokens, Age: now - k.last})
 	}
--- a/policy/buckets_test.go
+++ b/policy/buckets_test.go
@@ -54,10 +54,10 @@
 				b.pace = paceLeast + rng.Float64()*(paceMost-paceLeast)
 			}
 			if i%5000 == 4999 {
-				m, pace, now := b.Remember(b.now), b.pace, b.now
+				m, pace, now := b.Snapshot(b.now), b.pace, b.now
 				b = start(t, set, members(2))
 				b.now, b.pace = now, pace
-				b.Recall(now, m, 0)
+				b.Restore(now, m, 0)
 			}
 			// Now one half of the tenants comes often, now the other.
 			tenant, class := fmt.Sprint("t", (rng.IntN(30)+i/1000*25)%60), set.Classes[rng.IntN(3)].Name
@@ -115,7 +115,7 @@
 	for ok := true; ok; {
 		ok, _ = b.admit("t19999", "free")
 	}
-	told := b.Remember(b.now).Buckets
+	told := b.Snapshot(b.now).Buckets
 	if len(told) != maxBuckets+1 || !slices.ContainsFunc(told, func(k BucketMemory) bool { return k.Tenant == "t19999" && k.Tokens == 0 }) {
 		t.Errorf("a successor is told of %d buckets, want %d and the empty one among them", len(told), maxBuckets+1)
 	}
@@ -152,10 +152,10 @@
 	if ok, _ := b.admit("made up at last", "free"); ok {
 		t.Error("the shared bucket is empty, and a new name is admitted")
 	}
-	m := b.Remember(b.now)
+	m := b.Snapshot(b.now)
 	next := start(t, set, members(2))
 	next.now = b.now
-	next.Recall(b.now, m, 0)
+	next.Restore(b.now, m, 0)
 	b = next
 	check("handed over")
 	for range 3 {
--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -172,7 +172,7 @@
 										if err != nil {
 											t.Fatal(err)
 										}
-										after.Recall(f.now, before.Remember(f.now), 0)
+										after.Restore(f.now, before.Snapshot(f.now), 0)
 										f.tell(after, Processes{N: 2})
 										f.tell(after, MemberList{Kind: ListRestored, Members: lists(started)})
 										turn := 0 // clients come to both for a while
--- a/policy/golden_test.go
+++ b/policy/golden_test.go
@@ -280,16 +280,16 @@
 			if err != nil {
 				panic(err)
 			}
-			m := g.b.Remember(g.now)
+			m := g.b.Snapshot(g.now)
 			m.Buckets = nil
 			half := g.whole()
 			g.b, g.tasks = next, nil
 			g.event(MemberList{Kind: ListReplace, Members: half[len(half)/2:]})
-			g.b.Recall(g.now, m, 10*ms)
+			g.b.Restore(g.now, m, 10*ms)
 			g.event(MemberList{Kind: ListReplace, Members: half})
 		}
 	}
-	fmt.Fprintf(g.digest, "%+v %s\n", g.b.Remember(g.now).Servers, allOf(g.b))
+	fmt.Fprintf(g.digest, "%+v %s\n", g.b.Snapshot(g.now).Servers, allOf(g.b))
 	return g.digest.Sum64()
 }
 
--- a/policy/policy.go
+++ b/policy/policy.go
@@ -1100,7 +1100,7 @@
 		// A random part of a token, so that nodes who hear of a cold server together don't all send.
 		s.cold = coldBudget{tokens: b.rng.Float64(), last: b.now}
 		b.servers[m.Server] = s
-	} else if _, told := b.recalled[m.Server]; s.Member == m && !told {
+	} else if _, told := b.restored[m.Server]; s.Member == m && !told {
 		b.enrol(s)
 		return nil
 	}
@@ -1109,7 +1109,7 @@
 	s.Member = m
 	s.group = b.groupOf(s)
 	s.Kind, s.Zone = s.group.kind, s.group.zone // one string for all of a group
-	b.recall(s)
+	b.restore(s)
 	return s
 }
 
--- a/policy/state.go
+++ b/policy/state.go
@@ -46,7 +46,7 @@
 	doneAt    Time
 	rates     map[string]float64      // requests a second that warm servers of each kind serve, by their reports
 	busy      float64                 // part of their cores that servers use lately, by their reports
-	recalled  map[string]ServerMemory // by the process before, of servers not listed yet
+	restored  map[string]ServerMemory // by the process before, of servers not listed yet
 	succeeds  bool                    // a process of this node came before, and was alive at the start
 	silent    [6]float64              // part of sends unanswered, by how long the connection was idle, in octaves
 	index
@@ -238,9 +238,9 @@
 	Times     int
 }
 
-// Remember is what a successor of this node should know.
-func (b *Balancer) Remember(now Time) Memory {
-	m := Memory{Pace: b.pace, Busy: b.busy, Rates: maps.Clone(b.rates), Buckets: b.rememberBuckets(now)}
+// Snapshot is what a successor of this node should know.
+func (b *Balancer) Snapshot(now Time) Memory {
+	m := Memory{Pace: b.pace, Busy: b.busy, Rates: maps.Clone(b.rates), Buckets: b.snapshotBuckets(now)}
 	for s := range b.walk(&b.fleet) {
 		l := ServerMemory{Server: s.Server, Threshold: s.threshold, Felt: s.felt, Latency: s.latency,
 			Faults: s.faults, Takes: s.takes, ColdLevel: s.cold.tokens, Score: s.health.score,
@@ -253,9 +253,9 @@
 	return m
 }
 
-// Recall takes over what another process of this node remembered a while ago; figures that can't be are
+// Restore takes over what another process of this node remembered a while ago; figures that can't be are
 // left out. Of the servers, it counts when the list names them.
-func (b *Balancer) Recall(now Time, m Memory, ago time.Duration) {
+func (b *Balancer) Restore(now Time, m Memory, ago time.Duration) {
 	if m.Pace > 0 {
 		b.pace = min(paceMost, max(paceLeast, m.Pace))
 	}
@@ -272,7 +272,7 @@
 		}
 	}
 	b.succeeds = len(m.Servers) > 0
-	b.recalled = make(map[string]ServerMemory, len(m.Servers))
+	b.restored = make(map[string]ServerMemory, len(m.Servers))
 	out := 0
 	for _, s := range m.Servers {
 		if s.Out {
@@ -285,7 +285,7 @@
 		if s.Up > 0 {
 			s.Up = now - s.Up - max(0, ago)
 		}
-		b.recalled[s.Server] = s
+		b.restored[s.Server] = s
 	}
 }
 
@@ -293,10 +293,10 @@
 // different moments, and starts in milliseconds.
 const sameStart = 500 * time.Millisecond
 
-// recall gives a server that is new to this process what another knew of it, once.
-func (b *Balancer) recall(s *server) {
-	m, ok := b.recalled[s.Server]
-	delete(b.recalled, s.Server)
+// restore gives a server that is new to this process what another knew of it, once.
+func (b *Balancer) restore(s *server) {
+	m, ok := b.restored[s.Server]
+	delete(b.restored, s.Server)
 	if !ok || (m.Up == 0) != (s.OnlineSince == 0) || (s.OnlineSince-m.Up).Abs() > sameStart {
 		return
 	}
--- a/policy/state_test.go
+++ b/policy/state_test.go
@@ -25,7 +25,7 @@
 	old.servers["s00"].threshold, old.servers["s00"].felt = 7.5, true
 	old.servers["s01"].cold.tokens, old.servers["s02"].cold.tokens = -2, -2
 	old.rates["k1"] = 44
-	m := old.Remember(now)
+	m := old.Snapshot(now)
 
 	const origin = time.Hour // of the new process's clock, at the moment at which the old one's shows 2 s
 	list[1].OnlineSince += origin - now
@@ -34,7 +34,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	next.Recall(origin+10*ms, m, 10*ms)
+	next.Restore(origin+10*ms, m, 10*ms)
 	next.Handle(origin+10*ms, MemberList{Kind: ListRestored, Members: list})
 	if ok, _ := next.admit("u", "free"); ok {
 		t.Error("a tenant was handed a fresh burst")
@@ -64,12 +64,12 @@
 			old.eject(s, i == 0)
 			s.health.score = 0.6
 		}
-		m := old.Remember(old.now + 400*ms)
+		m := old.Snapshot(old.now + 400*ms)
 		next, err := New(site(2), time.Hour, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
-		next.Recall(time.Hour, m, 100*ms)
+		next.Restore(time.Hour, m, 100*ms)
 		next.Handle(time.Hour, MemberList{Kind: ListRestored, Members: members(5)})
 		if next.fleet.ejected != want {
 			t.Errorf("%d were out: %d still are, want %d", out, next.fleet.ejected, want)
@@ -97,7 +97,7 @@
 		if err != nil {
 			t.Fatal(err)
 		}
-		b.Recall(time.Hour, m, -time.Second)
+		b.Restore(time.Hour, m, -time.Second)
 		b.Handle(time.Hour, MemberList{Kind: ListRestored, Members: members(3)})
 		s := b.servers["s00"]
 		if b.pace != 1 || s.threshold != b.start(s) || s.takes != 0 || len(b.rates) != 0 {
@@ -116,12 +116,12 @@
 	set := site(48)
 	set.Subscribe = true
 	list := members(3)
-	for _, m := range []Memory{{}, start(t, set, list).Remember(time.Second)} {
+	for _, m := range []Memory{{}, start(t, set, list).Snapshot(time.Second)} {
 		b, err := New(set, time.Hour, 1)
 		if err != nil {
 			t.Fatal(err)
 		}
-		b.Recall(time.Hour, m, 0)
+		b.Restore(time.Hour, m, 0)
 		acts := b.Handle(time.Hour, MemberList{Kind: ListRestored, Members: list})
 		asked, later := len(of(acts, WatchList)), len(of(acts, SetTimer))
 		if succeeds := len(m.Servers) > 0; (asked == 1) != succeeds || (later == 1) == succeeds {
