Keep an upgrade's two processes together while their folder or descriptors fail

Causes: living took its names from filepath.Glob, which passes errors over, and held took a lock that it could not open for a dead process's. A standby that could not be noted was logged and forgotten: a successor then says that it is ready. Ages in the folder compared the wall clocks of two processes.

--- a/internal/node/handover_faults_test.go
+++ b/internal/node/handover_faults_test.go
@@ -1,6 +1,11 @@
 package node
 
 import (
+	"context"
+	"sync/atomic"
+
+	"cobaltward/policy"
+
 	"errors"
 	"os"
 	"path/filepath"
@@ -44,6 +49,9 @@
 		t.Fatal(err)
 	}
 	defer next.leave()
+	if !old.succeeded() || !next.beforeLives() {
+		t.Fatal("the two don't see each other")
+	}
 	withoutDescriptors(t, func() {
 		if _, err := os.Open(dir); !errors.Is(err, syscall.EMFILE) {
 			t.Fatalf("a descriptor is left: %v", err)
@@ -51,6 +59,9 @@
 		if !old.succeeded() {
 			t.Error("the old process takes its successor for dead")
 		}
+		if !next.beforeLives() {
+			t.Error("the new process takes the old one for dead")
+		}
 		if _, err := living(dir); err == nil {
 			t.Error("a look without descriptors reports who lives")
 		}
@@ -58,7 +69,7 @@
 	if left, err := next.read(old.id, time.Now()); err != nil || left.Revision != 7 {
 		t.Errorf("the old process's word: %+v, %v", left, err)
 	}
-	if !old.succeeded() || next.before != old.id || !held(next.path(old.id, lockSuffix)) {
+	if !old.succeeded() || next.before != old.id || !next.beforeLives() {
 		t.Error("one of the two counts as dead")
 	}
 }
@@ -120,3 +131,28 @@
 		}
 	}
 }
+
+// A process that can't use the folder at its start takes its part of the limits once the folder works.
+func TestFolderIsJoinedOnceItWorks(t *testing.T) {
+	dir := filepath.Join(t.TempDir(), "shared")
+	l, _ := startLoop(t, "127.0.0.1:9", func(policy.Time, policy.Event) []policy.Action { return nil })
+	life := new(lifecycle)
+	defer life.end()
+	life.load()
+	life.standBy()
+	s := &shared{loop: l, life: life, clients: newClients(nil, 100), up: l.up, clientSockets: 100, serverSockets: 150}
+	ctx, cancel := context.WithCancel(t.Context())
+	ended := make(chan struct{})
+	var joined atomic.Pointer[handover]
+	go func() { s.joinLater(ctx, dir, &joined); close(ended) }()
+	defer func() { cancel(); receive(t, "the end", ended) }()
+	if err := os.Mkdir(dir, 0o700); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the process to join", func() bool { return joined.Load() != nil })
+	h := joined.Load()
+	await(t, "a snapshot with the standby", func() bool {
+		left, err := h.read(h.id, time.Now())
+		return err == nil && left.Standby
+	})
+}
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -251,7 +251,7 @@
 		t.Cleanup(func() { ln.Close() })
 		l, _ := startLoop(t, "127.0.0.1:9", func(policy.Time, policy.Event) []policy.Action { return nil })
 		return &shared{handover: h, loop: l, life: new(lifecycle), clients: newClients(ln, 100), up: l.up,
-			clientSockets: 100, serverSockets: 150, ownSockets: 30, before: h.before}
+			clientSockets: 100, serverSockets: 150, ownSockets: 30}
 	}
 	check := func(when string, all ...*shared) {
 		t.Helper()
@@ -316,7 +316,7 @@
 		return nil
 	})
 	next := &shared{handover: second, loop: l, life: new(lifecycle), clients: newClients(ln, 100), up: l.up,
-		clientSockets: 100, serverSockets: 150, ownSockets: 30, before: second.before}
+		clientSockets: 100, serverSockets: 150, ownSockets: 30}
 	now := time.Now()
 	hears := func(revision int64, phase policy.Availability) {
 		t.Helper()
--- a/internal/node/lifecycle.go
+++ b/internal/node/lifecycle.go
@@ -86,6 +86,16 @@
 	}
 }
 
+// follow has noteStandby told from now on, and at once of a standby that began before.
+func (l *lifecycle) follow(noteStandby func(on bool)) {
+	l.mu.Lock()
+	defer l.mu.Unlock()
+	l.noteStandby = noteStandby
+	if l.phase() == standby {
+		l.note(true)
+	}
+}
+
 func (l *lifecycle) note(on bool) {
 	if l.noteStandby != nil {
 		l.noteStandby(on)
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -6,6 +6,7 @@
 	"log/slog"
 	"net"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/internal/discovery"
@@ -35,7 +36,9 @@
 func Run(ctx context.Context, c Config, doors Doors, moves <-chan string) error {
 	ck := clock{start: time.Now()}
 	h, old := succeed(&c)
+	var joined atomic.Pointer[handover]
 	if h != nil {
+		joined.Store(h)
 		defer h.leave()
 	}
 	own := ownSockets
@@ -63,7 +66,7 @@
 	l.clients = clients
 	s.life.closeIdle = clients.closeIdle
 	if h != nil {
-		s.life.noteStandby = h.noteStandby
+		s.life.follow(h.noteStandby)
 	}
 	defer s.life.end()
 	if doors.Operators != nil { // before all else, so that operators can ask how the start goes
@@ -92,12 +95,14 @@
 	if old.Standby {
 		s.life.standBy()
 	}
-	var shares *shared
-	if h != nil {
-		shares = &shared{handover: h, loop: l, life: &s.life, clients: clients, up: up, clientSockets: most,
-			serverSockets: up.most, ownSockets: own, before: h.before}
+	shares := &shared{handover: h, loop: l, life: &s.life, clients: clients, up: up, clientSockets: most,
+		serverSockets: up.most, ownSockets: own}
+	switch {
+	case h != nil:
 		shares.step(time.Now())
 		parts.Go(func() { shares.run(running) })
+	case c.Handover != "":
+		parts.Go(func() { shares.joinLater(running, c.Handover, &joined) })
 	}
 	select {
 	case <-l.serves: // before the first client is taken in
@@ -117,6 +122,7 @@
 		return fmt.Errorf("serving: %w", err)
 	case <-ctx.Done():
 	}
+	h = joined.Load()
 	s.drain(c, clients, failed, h != nil && h.succeeded())
 	return nil
 }
@@ -140,9 +146,9 @@
 	if c.Handover == "" {
 		return nil, snapshot{}
 	}
-	h, err := join(c.Handover)
+	h, err := joinPatiently(c.Handover)
 	if err != nil { // it can serve all the same, and the clients' socket is there
-		slog.Warn("handover: none, for the folder is of no use", "err", err)
+		slog.Warn("handover: none yet, for the folder is of no use", "err", err)
 		return nil, snapshot{}
 	}
 	if h.before == 0 {
--- a/internal/node/shared.go
+++ b/internal/node/shared.go
@@ -4,6 +4,7 @@
 	"context"
 	"log/slog"
 	"runtime/debug"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/internal/discovery"
@@ -21,10 +22,35 @@
 	clientSockets, serverSockets int // of a process that is alone
 	ownSockets                   int // what each needs for itself
 
-	before int64 // the process that came before; 0 once it is gone
-	heard  int64 // the revision of its list that was last taken over
-	halved bool
-	wrote  time.Time
+	heard   int64 // the revision of its list that was last taken over
+	halved  bool
+	wrote   time.Time
+	failing bool // the last write did
+}
+
+// joinLater enters the folder once it works again, and shares the limits from then on. Until then the process holds to
+// those of one that is alone.
+func (s *shared) joinLater(ctx context.Context, dir string, joined *atomic.Pointer[handover]) {
+	tick := time.NewTicker(snapshotEvery)
+	defer tick.Stop()
+	for {
+		select {
+		case <-tick.C:
+		case <-ctx.Done():
+			return
+		}
+		h, err := join(dir)
+		if err != nil {
+			continue
+		}
+		defer h.leave()
+		slog.Info("handover: joined late", "before", h.before)
+		s.handover = h
+		joined.Store(h)
+		s.life.follow(h.noteStandby)
+		s.run(ctx)
+		return
+	}
 }
 
 // run keeps to the limits, and leaves word for a successor, until ctx ends.
@@ -42,13 +68,11 @@
 }
 
 func (s *shared) step(now time.Time) {
-	if s.before != 0 && !held(s.path(s.before, lockSuffix)) {
-		s.before = 0
-	}
-	next := s.succeeded()
-	s.halve(s.before != 0 || next)
+	next, before := s.succeeded(), s.beforeLives()
+	s.noteAgain()
+	s.halve(before || next)
 	switch {
-	case s.before != 0:
+	case before:
 		old, err := s.read(s.before, now)
 		if err != nil { // its word counts once it has one
 			old.Clients, old.Servers = s.clientSockets/2, s.serverSockets/2
@@ -67,7 +91,12 @@
 	if next || now.Sub(s.wrote) >= snapshotEvery {
 		s.wrote = now
 		if err := s.write(s.snapshot(now)); err != nil {
-			slog.Warn("handover: nothing is left to a successor", "err", err)
+			if !s.failing {
+				slog.Warn("handover: nothing is left to a successor", "err", err)
+			}
+			s.failing = true
+		} else {
+			s.failing = false
 		}
 	}
 }
--- a/internal/node/snapshot.go
+++ b/internal/node/snapshot.go
@@ -8,6 +8,8 @@
 	"hash/crc32"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"cobaltward/internal/discovery"
 	"cobaltward/internal/field"
 	"cobaltward/policy"
@@ -15,11 +17,14 @@
 
 // snapshot is what a process leaves to its successor.
 type snapshot struct {
-	Saved    time.Time
-	Standby  bool
-	Revision int64
-	Members  []discovery.Member
-	Policy   policy.Memory
+	Saved time.Time
+	// Monotonic is the same on the machine's monotonic clock, in nanoseconds, for its wall clock may be stepped meanwhile;
+	// 0 where an older version wrote it.
+	Monotonic int64
+	Standby   bool
+	Revision  int64
+	Members   []discovery.Member
+	Policy    policy.Memory
 	// Connections that the process may have open yet, for the two are held to one node's descriptors.
 	Clients, Servers int
 }
@@ -45,9 +50,16 @@
 	if err := json.Unmarshal(raw, &l); err != nil {
 		return snapshot{}, err
 	}
-	if age := now.Sub(l.Saved); age > snapshotFor || age < -snapshotFor {
+	age := now.Sub(l.Saved)
+	if l.Monotonic != 0 {
+		age = time.Duration(monotonic() - l.Monotonic)
+	}
+	if age > snapshotFor || age < -snapshotFor {
 		return snapshot{}, fmt.Errorf("written %v ago", age)
 	}
+	if l.Monotonic != 0 {
+		l.Saved = now.Add(-age)
+	}
 	for i, m := range l.Members {
 		if m.Server == "" || m.Availability > policy.Removed || m.UpSince < 0 || m.UpSince >= 1<<53 {
 			return snapshot{}, fmt.Errorf("members[%d] makes no sense", i)
@@ -61,3 +73,12 @@
 	}
 	return l, nil
 }
+
+// monotonic is the machine's monotonic clock in nanoseconds, which all its processes share; 0 where it can't be read.
+func monotonic() int64 {
+	var t unix.Timespec
+	if err := unix.ClockGettime(unix.CLOCK_MONOTONIC, &t); err != nil {
+		return 0
+	}
+	return t.Nano()
+}
