--- a/cmd/scalerun/main_test.go
+++ b/cmd/scalerun/main_test.go
@@ -40,7 +40,7 @@
 	if err != nil {
 		return err
 	}
-	return node.Run(context.Background(), c, node.Doors{Clients: clients}, nil)
+	return node.Run(context.Background(), c, node.Listeners{Clients: clients}, nil)
 }
 
 const tinyPlan = `name = "tiny"
--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -29,7 +29,7 @@
 	lines := logging.NewWriter(os.Stderr)
 	slog.SetLogLoggerLevel(slog.LevelDebug) // net/http would log a line for each server's stray byte
 	slog.SetDefault(slog.New(slog.NewTextHandler(lines, nil)))
-	err := run()
+	err := run(lines.Dropped)
 	if err != nil {
 		fmt.Fprintln(lines, "wayhold:", err)
 	}
@@ -39,7 +39,8 @@
 	}
 }
 
-func run() error {
+// run serves until the process is told to end; logDropped is how many log lines were never written.
+func run(logDropped func() int64) error {
 	// Both are handled until the process has gone: a signal that came after the handlers would end it as a crash.
 	hup := make(chan os.Signal, 1) // one more that is waiting stands for all: the file is read after it
 	signal.Notify(hup, syscall.SIGHUP)
@@ -47,6 +48,7 @@
 	if err != nil {
 		return err
 	}
+	c.LogDropped = logDropped
 	debug.SetMemoryLimit(int64(heapPart * float64(c.MemoryMB) * (1 << 20)))
 	runtime.GOMAXPROCS(int(max(1, math.Ceil(c.Cores))))
 	ctx, stop := context.WithCancel(context.Background())
@@ -54,26 +56,26 @@
 	term := make(chan os.Signal, 1)
 	signal.Notify(term, syscall.SIGTERM, os.Interrupt)
 	go func() { <-term; stop() }()
-	var doors node.Doors
+	var listeners node.Listeners
 	if text := os.Getenv(inheritedVar); text != "" {
-		if doors.Clients, err = inherit(text); err != nil {
+		if listeners.Clients, err = inherit(text); err != nil {
 			return err
 		}
 		c.Handover = os.Getenv("TMPDIR")
-	} else if doors.Clients, err = net.Listen("tcp", c.Listen); err != nil {
+	} else if listeners.Clients, err = net.Listen("tcp", c.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	if c.Operator != "" {
-		if doors.Operators, err = net.Listen("tcp", c.Operator); err != nil {
+		if listeners.Operators, err = net.Listen("tcp", c.Operator); err != nil {
 			return fmt.Errorf("operator: %w", err)
 		}
-		slog.Info("listening to operators", "address", doors.Operators.Addr())
+		slog.Info("listening to operators", "address", listeners.Operators.Addr())
 	}
-	slog.Info("listening", "name", c.Name, "address", doors.Clients.Addr(), "servers", len(c.Known.Members))
+	slog.Info("listening", "name", c.Name, "address", listeners.Clients.Addr(), "servers", len(c.Known.Members))
 	moves, done := make(chan string, 1), make(chan struct{})
 	defer close(done)
 	go reload(hup, moves, done)
-	return node.Run(ctx, c, doors, moves)
+	return node.Run(ctx, c, listeners, moves)
 }
 
 // reload reads the configuration again at each SIGHUP until done; the newest address stands in moves.
--- a/cmd/wayhold/main_test.go
+++ b/cmd/wayhold/main_test.go
@@ -75,7 +75,7 @@
 		}
 	}
 	ended := make(chan error, 1)
-	go func() { ended <- run() }()
+	go func() { ended <- run(nil) }()
 	if q := receive(t, "the first call", atFirst); !strings.HasPrefix(q, "index=1&wait=") {
 		t.Errorf("first call: %q", q)
 	}
@@ -125,7 +125,7 @@
 			t.Fatal(err)
 		}
 		t.Setenv("ROUTER_CONFIG", path)
-		if err := run(); err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
+		if err := run(nil); err == nil || !strings.HasPrefix(err.Error(), want) || strings.Contains(err.Error(), "\n") {
 			t.Errorf("%s: %v, want one line that begins with %q", addr, err, want)
 		}
 	}
--- a/internal/node/door_test.go
+++ b/internal/node/admin_test.go
@@ -11,8 +11,8 @@
 	"time"
 )
 
-// startWithDoor runs a whole node with a door for operators.
-func startWithDoor(t *testing.T, c Config) (addr, operator string) {
+// startWithAdmin runs a whole node with an admin listener.
+func startWithAdmin(t *testing.T, c Config) (addr, operator string) {
 	t.Helper()
 	var listeners [2]net.Listener
 	for i := range listeners {
@@ -23,7 +23,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- Run(ctx, c, Doors{Clients: listeners[0], Operators: listeners[1]}, nil) }()
+	go func() { ended <- Run(ctx, c, Listeners{Clients: listeners[0], Operators: listeners[1]}, nil) }()
 	t.Cleanup(func() {
 		cancel()
 		if err := receive(t, "the node's end", ended); err != nil {
@@ -35,7 +35,7 @@
 	return listeners[0].Addr().String(), operator
 }
 
-// call makes one call at the door and returns its status.
+// call makes one call at the admin listener and returns its status.
 func call(t *testing.T, operator, method, path string) int {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+operator+path, nil)
@@ -56,12 +56,12 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	d := openDoor(ln, "n0", life)
+	d := startAdmin(ln, "n0", life, newMetrics().handler())
 	t.Cleanup(d.close)
 	return ln.Addr().String()
 }
 
-func TestDoorAnswersCalls(t *testing.T) {
+func TestAdminAnswersCalls(t *testing.T) {
 	var life lifecycle
 	defer life.end()
 	addr := testDoor(t, &life)
@@ -109,7 +109,7 @@
 
 // What is no call gets an error or a close, one call is all that a connection gets, and a 405 says what
 // is allowed.
-func TestDoorTurnsNoiseAway(t *testing.T) {
+func TestAdminTurnsNoiseAway(t *testing.T) {
 	var life lifecycle
 	addr := testDoor(t, &life)
 	var noise sync.WaitGroup
@@ -133,7 +133,7 @@
 				return
 			}
 			defer c.Close()
-			_, _ = io.WriteString(c, raw) // the door may close before all is written
+			_, _ = io.WriteString(c, raw) // the node may close before all is written
 			_ = c.SetReadDeadline(time.Now().Add(long))
 			got, err := io.ReadAll(c)
 			if ne, ok := err.(net.Error); ok && ne.Timeout() {
@@ -152,11 +152,11 @@
 }
 
 // Callers who finish no call keep nobody out, however many they are.
-func TestDoorStaysOpenToOthers(t *testing.T) {
+func TestAdminStaysOpenToOthers(t *testing.T) {
 	var life lifecycle
 	life.load()
 	addr := testDoor(t, &life)
-	for i := range 4 * doorCalls {
+	for i := range 4 * adminCalls {
 		c, err := net.Dial("tcp", addr)
 		if err != nil {
 			t.Fatal(err)
@@ -170,3 +170,28 @@
 		}
 	}
 }
+
+// The admin listener exports the counters of requests, attempts and rules in the Prometheus text format.
+func TestAdminExportsMetrics(t *testing.T) {
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) {})
+	node, operator := startWithAdmin(t, testConfig(t, knownList(addr)))
+	if resp, _ := do(t, clientRequest(t, node, "GET", "read", "r1", "")); resp.StatusCode != http.StatusOK {
+		t.Fatal(resp.Status)
+	}
+	resp, err := http.Get("http://" + operator + "/metrics")
+	if err != nil {
+		t.Fatal(err)
+	}
+	defer resp.Body.Close()
+	text, err := io.ReadAll(resp.Body)
+	if err != nil {
+		t.Fatal(err)
+	}
+	for _, want := range []string{`wayhold_requests_total{result="served"} 1`, `wayhold_attempts_total{outcome="ok"} 1`,
+		`wayhold_rule_violations_total{rule="answer_late"} 0`, `wayhold_rule_denials_total{rule="attempt_after_departure"} 0`,
+		"wayhold_ready 1", "wayhold_attempt_seconds_count 1"} {
+		if !strings.Contains(string(text), want+"\n") {
+			t.Errorf("%s is not among the metrics", want)
+		}
+	}
+}
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -135,6 +135,13 @@
 	return true
 }
 
+// closes counts that the connection is closed, and why.
+func (c *clientConn) closes(reason string) {
+	if c != nil {
+		c.owner.metrics.closed.WithLabelValues(reason).Inc()
+	}
+}
+
 func (c *clientConn) answered() {
 	if c != nil {
 		c.owner.mu.Lock()
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -16,6 +16,7 @@
 	available func() int    // descriptors that servers leave for clients, beyond most; nil: none
 	linger    time.Duration // that a connection which ends waits for its client's end
 	monitor   *invariant.Monitor
+	metrics   *metrics
 
 	mu      sync.Mutex
 	room    sync.Cond
@@ -28,7 +29,7 @@
 }
 
 func newClients(l net.Listener, most int) *clients {
-	c := &clients{Listener: l, most: most, linger: lingerFor, monitor: new(invariant.Monitor)}
+	c := &clients{Listener: l, most: most, linger: lingerFor, monitor: new(invariant.Monitor), metrics: newMetrics()}
 	c.room.L = &c.mu
 	return c
 }
@@ -100,7 +101,7 @@
 		for e := l.waiting.Front(); e != nil; e = e.Next() {
 			if c := e.Value.(*clientConn); c.kind(fresh) == kind && c.tryClose() {
 				l.evicted++
-				l.closeAll(c)
+				l.closeAll(closedForRoom, c)
 				return true
 			}
 		}
@@ -110,7 +111,8 @@
 
 // closeAll closes connections that were given up. Whoever reads one of them may wait for the mutex, and Close for
 // the reader, so it is let go meanwhile.
-func (l *clients) closeAll(given ...*clientConn) {
+func (l *clients) closeAll(reason string, given ...*clientConn) {
+	l.metrics.closed.WithLabelValues(reason).Add(float64(len(given)))
 	l.mu.Unlock()
 	defer l.mu.Lock()
 	for _, c := range given {
@@ -133,7 +135,7 @@
 			given = append(given, c)
 		}
 	}
-	l.closeAll(given...)
+	l.closeAll(closedSentAway, given...)
 	l.room.Signal()
 }
 
@@ -152,7 +154,7 @@
 			given = append(given, c)
 		}
 	}
-	l.closeAll(given...)
+	l.closeAll(closedIdle, given...)
 	l.room.Signal()
 }
 
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -33,6 +33,8 @@
 	Known     discovery.List // the servers as this node last had them, perhaps stale
 	Handover  string         // the folder that an old and a new process of this node share; empty: there is none
 	Settings  policy.Settings
+	// LogDropped is how many log lines were never written; nil: nobody counts.
+	LogDropped func() int64
 
 	// Figures of the settings that bind the node and not the module.
 	MaxOpen        int           // unanswered requests; 0: no limit
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -158,7 +158,7 @@
 	ctx, cancel := context.WithCancel(context.Background())
 	t.Cleanup(cancel)
 	ended := make(chan error, 1)
-	go func() { ended <- Run(ctx, c, Doors{Clients: clients, Operators: operators}, nil) }()
+	go func() { ended <- Run(ctx, c, Listeners{Clients: clients, Operators: operators}, nil) }()
 	operator = operators.Addr().String()
 	await(t, "the process", func() bool { return call(t, operator, "GET", "/status") != 0 })
 	return operator, func() error {
--- a/internal/node/lifecycle_test.go
+++ b/internal/node/lifecycle_test.go
@@ -131,7 +131,7 @@
 			<-hold
 		}
 	})
-	node, operator := startWithDoor(t, testConfig(t, knownList(addr)))
+	node, operator := startWithAdmin(t, testConfig(t, knownList(addr)))
 	idle, err := net.Dial("tcp", node)
 	if err != nil {
 		t.Fatal(err)
@@ -254,7 +254,7 @@
 			<-hold
 		}
 	})
-	node, operator := startWithDoor(t, testConfig(t, knownList(addr)))
+	node, operator := startWithAdmin(t, testConfig(t, knownList(addr)))
 	c, err := net.Dial("tcp", node)
 	if err != nil {
 		t.Fatal(err)
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -66,9 +66,11 @@
 	clock   clock
 	module  module
 	allowed policy.Allowed
+	classes map[string]policy.Class
 	maxOpen int
 	up      *upstream
 	monitor *invariant.Monitor
+	metrics *metrics
 	clients *clients // nil: there are none
 	disc    *discovery.Client
 	inForce func(revision int64, at time.Time) // hears of each list that requests go by; nil: nobody does
@@ -107,13 +109,26 @@
 
 type attempt struct {
 	server string
+	group  serverGroup
 	sent   policy.Time
 	cancel context.CancelFunc
+	over   bool // it has its outcome
+	code   policy.Code
+	took   time.Duration // for the log
+}
+
+// serverGroup is what decides which other servers drop the repeats of what a server was sent.
+type serverGroup struct {
+	zone string
+	cell int64
+}
 
-	// For the log.
-	over bool
-	code policy.Code
-	took time.Duration
+// outcome names how an attempt ended; "out" where it hasn't.
+func (a attempt) outcome() string {
+	if !a.over {
+		return "out"
+	}
+	return a.code.String()
 }
 
 // sending is the last attempt that went to a server.
@@ -151,9 +166,13 @@
 	if err != nil {
 		return nil, err
 	}
-	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up, monitor: up.monitor,
+	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up, monitor: up.monitor, metrics: newMetrics(),
 		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}), serves: make(chan struct{}),
-		requests: make(map[string]*request), lastSent: make(map[string]sending), used: ids{seed: maphash.MakeSeed()}}
+		classes: make(map[string]policy.Class), requests: make(map[string]*request), lastSent: make(map[string]sending), used: ids{seed: maphash.MakeSeed()}}
+	for _, class := range c.Settings.Classes {
+		l.classes[class.Name] = class
+	}
+	l.trace.metrics = l.metrics
 	l.disc = discovery.New(c.following(), func(n discovery.News) { l.send(n) })
 	return l, nil
 }
@@ -201,7 +220,7 @@
 			if l.clients != nil {
 				open, evicted = l.clients.counts()
 			}
-			l.trace.summary(l.owed, open, evicted, fmt.Sprint(l.module))
+			l.trace.summary(l.owed, open, evicted, fmt.Sprint(l.module), l.monitor)
 		case <-ctx.Done():
 			return
 		}
@@ -312,6 +331,7 @@
 	if e.answer.more == nil { // else it ends with the last byte
 		a.cancel()
 	}
+	a.over, a.code = true, e.code
 	l.trace.attempt(l.clock.now(), e.r, e.n, e.result)
 	e.r.pending--
 	if e.code == policy.OK && !e.r.ended {
@@ -486,14 +506,11 @@
 		return
 	}
 	n := len(r.attempts)
-	r.pending++
-	// Of a large body, what has gone on is not held any more: no attempt beside or after that.
-	spent := r.rest != nil && (r.rest.begun.Load() || r.pending > 1)
-	if r.ended || spent || now >= r.deadline || n >= max(1, l.allowed.MaxAttempts) {
-		r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: func() {}})
-		l.skipped = append(l.skipped, policy.Outcome{ID: a.ID, Server: a.Server, Attempt: n, Code: policy.Moot})
+	if denied := l.mayAttempt(r, a, now); denied != invariant.None {
+		l.skip(r, a, now, denied)
 		return
 	}
+	r.pending++
 	until := r.deadline
 	if a.Until > 0 {
 		until = min(until, a.Until)
@@ -502,22 +519,90 @@
 	if a.By > 0 {
 		by = l.clock.at(a.By)
 	}
+	if n > 0 {
+		l.metrics.retries.WithLabelValues(r.attempts[n-1].outcome()).Inc()
+	}
 	ctx, cancel := context.WithCancel(ctx)
 	l.lastSent[a.Server] = sending{a.ID, now}
-	r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: cancel})
+	r.attempts = append(r.attempts, attempt{server: a.Server, group: l.groupOf(a.Server), sent: now, cancel: cancel})
 	l.attempts.Go(func() {
 		defer cancel()
 		l.up.attempt(ctx, a.Server, r.exchange, attemptHost{
-			until:    l.clock.at(until),
-			by:       by,
-			left:     r.left,
-			uploaded: func(took time.Duration) { l.send(uploaded{r, took}) },
-			end:      func(e result) { l.send(ending{r, n, e}) },
+			until:       l.clock.at(until),
+			clientWaits: l.clock.at(r.came + r.clientWaits),
+			by:          by,
+			left:        r.left,
+			uploaded:    func(took time.Duration) { l.send(uploaded{r, took}) },
+			end:         func(e result) { l.send(ending{r, n, e}) },
 		})
 	})
 }
 
+// mayAttempt puts the facts of an attempt that the module wants before the rules.
+func (l *loop) mayAttempt(r *request, a policy.Action, now policy.Time) invariant.Rule {
+	class := l.classes[r.req.Class]
+	return invariant.MayAttempt(invariant.Attempt{
+		Now: now, Deadline: r.deadline, Answered: r.ended, ClientLeft: r.left.Err() != nil,
+		// Of a large body, what has gone on is not held any more: no attempt beside or after that.
+		BodySpent:   r.rest != nil && (r.rest.begun.Load() || r.pending > 0),
+		MaxAttempts: l.allowed.MaxAttempts, Hedging: l.allowed.Hedge, Repeat: class.Repeat, Window: class.Window,
+		Prior: l.prior(r, class, a.Server),
+	})
+}
+
+// prior tells the rules of a request's attempts so far, as seen from a further one at the given server.
+func (l *loop) prior(r *request, class policy.Class, server string) []invariant.PriorAttempt {
+	if len(r.attempts) == 0 {
+		return nil
+	}
+	group := l.groupOf(server)
+	prior := make([]invariant.PriorAttempt, len(r.attempts))
+	for i, a := range r.attempts {
+		prior[i] = invariant.PriorAttempt{Sent: a.sent, Out: !a.over, MayHaveRun: !a.over || !a.code.NotRun(),
+			SameGroup: sameGroup(class.Group, a.group, group)}
+	}
+	return prior
+}
+
+// groupOf is the group of a listed server; of one that isn't, none.
+func (l *loop) groupOf(server string) serverGroup {
+	m := l.members[server]
+	return serverGroup{m.Zone, m.Cell}
+}
+
+func sameGroup(by policy.Group, a, b serverGroup) bool {
+	switch by {
+	case policy.GroupAll:
+		return true
+	case policy.GroupZone:
+		return a.zone == b.zone
+	}
+	return a.cell == b.cell
+}
+
+// skip tells the module that an attempt was not made. Some of these it can't know better: an answer or the deadline may
+// come between its decision and this.
+func (l *loop) skip(r *request, a policy.Action, now policy.Time, denied invariant.Rule) {
+	switch denied {
+	case invariant.ConcurrentAttempts, invariant.UnsafeRepeat, invariant.RepeatOutsideWindow:
+		l.monitor.Misdirected(denied, a.ID, "server", a.Server, "attempts", r.history())
+	default:
+		l.monitor.Deny(denied)
+	}
+	n := len(r.attempts)
+	r.pending++
+	r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: func() {}, over: true, code: policy.Moot})
+	l.skipped = append(l.skipped, policy.Outcome{ID: a.ID, Server: a.Server, Attempt: n, Code: policy.Moot})
+}
+
 func (l *loop) refuse(r *request, wait time.Duration, why string) {
+	class := l.classes[r.req.Class]
+	if denied := invariant.MayRefuse(class.Repeat, class.Group, l.prior(r, class, "")); denied != invariant.None {
+		l.monitor.Misdirected(denied, r.req.ID, "why", why, "attempts", r.history())
+		l.answer(r, answer{status: http.StatusBadGateway}, why)
+		l.drop(r)
+		return
+	}
 	a := answer{status: http.StatusServiceUnavailable}
 	if wait > 0 && l.allowed.RetryAfter {
 		a = answer{status: http.StatusTooManyRequests, retryAfter: wait}
@@ -531,7 +616,11 @@
 func (l *loop) answer(r *request, a answer, by string) {
 	if !r.ended {
 		l.settle(r)
-		l.trace.answered(l.clock.now(), r, a, by)
+		now := l.clock.now()
+		if broken := invariant.InTime(now, r.deadline+r.margin()); broken != invariant.None {
+			l.monitor.Violation(broken, r.req.ID, "after", now-r.came, "waits", r.clientWaits, "by", by)
+		}
+		l.trace.answered(now, r, a, by)
 		r.reply <- a
 	}
 }
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -241,7 +241,8 @@
 
 // A request that is over leaves nothing behind, however far off its deadline was.
 func TestEndedRequestsAreForgotten(t *testing.T) {
-	l := &loop{clock: clock{start: time.Now()}, requests: make(map[string]*request), used: ids{seed: maphash.MakeSeed()}}
+	l := &loop{clock: clock{start: time.Now()}, requests: make(map[string]*request), used: ids{seed: maphash.MakeSeed()},
+		trace: trace{metrics: newMetrics()}}
 	l.module = &script{answer: func(_ policy.Time, ev policy.Event) []policy.Action {
 		if e, ok := ev.(policy.Request); ok {
 			return []policy.Action{{Kind: policy.Refuse, ID: e.ID}}
--- /dev/null
+++ b/internal/node/metrics.go
@@ -0,0 +1,112 @@
+package node
+
+import (
+	"net/http"
+
+	"github.com/prometheus/client_golang/prometheus"
+	"github.com/prometheus/client_golang/prometheus/promhttp"
+
+	"cobaltward/internal/invariant"
+)
+
+// Results of client requests, as the label of wayhold_requests_total.
+const (
+	resultServed  = "served"
+	resultRefused = "refused"
+	resultFailed  = "failed"
+	resultLeft    = "client_left"
+)
+
+// Reasons for which the node closed client connections, as the label of wayhold_client_connections_closed_total.
+const (
+	closedForRoom   = "room"      // to make room for others
+	closedIdle      = "idle"      // without a request for too long
+	closedSentAway  = "sent_away" // the process is in standby, or ends
+	closedRejected  = "rejected"  // what it said was no proper request
+	closedByClient  = "client"    // its client had left
+	closedWithReply = "answered"  // with an answer that said so
+)
+
+// metrics are the node's counters for Prometheus. They are counted whether or not anybody asks.
+type metrics struct {
+	registry *prometheus.Registry
+
+	requests    *prometheus.CounterVec
+	refusals    *prometheus.CounterVec
+	attempts    *prometheus.CounterVec
+	retries     *prometheus.CounterVec
+	closed      *prometheus.CounterVec
+	opened      prometheus.Counter
+	attemptTime prometheus.Histogram
+}
+
+func newMetrics() *metrics {
+	vector := func(name, help, label string) *prometheus.CounterVec {
+		return prometheus.NewCounterVec(prometheus.CounterOpts{Name: name, Help: help}, []string{label})
+	}
+	m := &metrics{
+		registry: prometheus.NewRegistry(),
+		requests: vector("wayhold_requests_total", "Client requests by how they ended.", "result"),
+		refusals: vector("wayhold_refusals_total", "Refused client requests by the reason.", "reason"),
+		attempts: vector("wayhold_attempts_total", "Attempts at servers by their outcome.", "outcome"),
+		retries:  vector("wayhold_retries_total", "Further attempts by the outcome of the one before.", "after"),
+		closed:   vector("wayhold_client_connections_closed_total", "Client connections that the node closed.", "reason"),
+		opened: prometheus.NewCounter(prometheus.CounterOpts{Name: "wayhold_server_connections_opened_total",
+			Help: "Connections to servers that were opened, or were to be."}),
+		attemptTime: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "wayhold_attempt_seconds",
+			Help: "Time from an attempt's beginning to its outcome.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 14)}),
+	}
+	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.closed, m.opened, m.attemptTime)
+	return m
+}
+
+// watch exports what others count: the rules, the connections, the phase and the log's lost lines.
+func (m *metrics) watch(monitor *invariant.Monitor, clients *clients, up *upstream, life *lifecycle, logDropped func() int64) {
+	m.registry.MustRegister(ruleCollector{monitor})
+	gauge := func(name, help string, value func() float64) {
+		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
+	}
+	gauge("wayhold_client_connections", "Client connections that are open.", func() float64 { return float64(clients.left()) })
+	gauge("wayhold_server_connections", "Connections to servers that are open or being made.",
+		func() float64 { return float64(up.inUse()) })
+	gauge("wayhold_ready", "1 while the front may send clients, else 0.", func() float64 {
+		if life.ready() {
+			return 1
+		}
+		return 0
+	})
+	gauge("wayhold_phase", "The process's phase: 0 starting, 1 active, 2 standby, 3 leaving, 4 closing.",
+		func() float64 { return float64(life.phase()) })
+	if logDropped != nil {
+		m.registry.MustRegister(prometheus.NewCounterFunc(prometheus.CounterOpts{Name: "wayhold_log_lines_dropped_total",
+			Help: "Log lines that were never written."}, func() float64 { return float64(logDropped()) }))
+	}
+}
+
+// handler answers with all metrics in the Prometheus text format.
+func (m *metrics) handler() http.Handler {
+	return promhttp.HandlerFor(m.registry, promhttp.HandlerOpts{DisableCompression: true})
+}
+
+// ruleCollector exports a monitor's counts.
+type ruleCollector struct{ monitor *invariant.Monitor }
+
+var (
+	denialsDesc = prometheus.NewDesc("wayhold_rule_denials_total",
+		"Steps that were not made, for they would have broken a rule.", []string{"rule"}, nil)
+	violationsDesc = prometheus.NewDesc("wayhold_rule_violations_total", "Rules that were found broken.", []string{"rule"}, nil)
+)
+
+// Describe tells of both counters.
+func (c ruleCollector) Describe(to chan<- *prometheus.Desc) {
+	to <- denialsDesc
+	to <- violationsDesc
+}
+
+// Collect tells the counts of every rule, also of those that are 0.
+func (c ruleCollector) Collect(to chan<- prometheus.Metric) {
+	for _, r := range invariant.Rules() {
+		to <- prometheus.MustNewConstMetric(denialsDesc, prometheus.CounterValue, float64(c.monitor.Denied(r)), r.String())
+		to <- prometheus.MustNewConstMetric(violationsDesc, prometheus.CounterValue, float64(c.monitor.Violations(r)), r.String())
+	}
+}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -25,15 +25,15 @@
 	lastAnswers  = 100 * time.Millisecond // for what is failed then to reach its clients
 )
 
-// Doors are the listeners that a node is reached by.
-type Doors struct {
+// Listeners are the listeners that a node is reached by.
+type Listeners struct {
 	Clients   net.Listener
-	Operators net.Listener // nil: there is no door for operators
+	Operators net.Listener // nil: there is no admin listener
 }
 
 // Run serves clients until ctx ends. Then it goes on accepting for a moment, answers what it has taken,
 // and returns. Discovery follows the addresses that come from moves.
-func Run(ctx context.Context, c Config, doors Doors, moves <-chan string) error {
+func Run(ctx context.Context, c Config, listeners Listeners, moves <-chan string) error {
 	ck := clock{start: time.Now()}
 	h, old := succeed(&c)
 	var joined atomic.Pointer[handover]
@@ -42,8 +42,8 @@
 		defer h.leave()
 	}
 	own := ownSockets
-	if doors.Operators != nil {
-		own += doorSockets
+	if listeners.Operators != nil {
+		own += adminSockets
 	}
 	most := int(clientsPart * float64(c.Sockets-own))
 	up := newUpstream(c, c.Sockets-own-most)
@@ -60,17 +60,19 @@
 		m.Restore(ck.now(), old.Policy, time.Since(old.Saved))
 	}
 	s := newServer(c, l)
-	clients := newClients(doors.Clients, most)
+	clients := newClients(listeners.Clients, most)
 	clients.monitor = up.monitor
 	clients.available, up.borrowed, up.reclaim = up.available, clients.borrowed, clients.reclaim
 	l.clients = clients
+	clients.metrics = l.metrics
+	l.metrics.watch(up.monitor, clients, up, &s.life, c.LogDropped)
 	s.life.closeIdle = clients.closeIdle
 	if h != nil {
 		s.life.follow(h.noteStandby)
 	}
 	defer s.life.end()
-	if doors.Operators != nil { // before all else, so that operators can ask how the start goes
-		defer openDoor(doors.Operators, c.Name, &s.life).close()
+	if listeners.Operators != nil { // before all else, so that operators can ask how the start goes
+		defer startAdmin(listeners.Operators, c.Name, &s.life, l.metrics.handler()).close()
 	}
 	s.http.ErrorLog = slog.NewLogLogger(slog.Default().Handler(), slog.LevelWarn)
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -147,6 +147,7 @@
 	if x.rest == nil { // while it was read, or waited for room or for its turn
 		switch c.presence() {
 		case departed:
+			x.client.closes(closedByClient)
 			panic(http.ErrAbortHandler)
 		case hidden:
 			s.loop.monitor.Deny(invariant.AttemptAfterDeparture)
@@ -164,6 +165,7 @@
 		s.answer(w, r, x, a)
 	case <-r.Context().Done():
 		s.depart(x)
+		x.client.closes(closedByClient)
 		panic(http.ErrAbortHandler) // else one who only ended its sending would be told 200
 	case <-broken:
 		s.depart(x)
@@ -195,6 +197,7 @@
 	c := clientOf(r)
 	if s.life.endsConnections() && !c.keepOpen() || len(r.TransferEncoding) > 0 { // behind a coding, heads go by unseen
 		w.Header().Set("Connection", "close")
+		c.closes(closedWithReply)
 	}
 	defer c.answered()
 	if x.rest != nil && !x.rest.whole() {
@@ -300,6 +303,7 @@
 func reject(w http.ResponseWriter, c *clientConn, status int, problem string) {
 	w.Header().Set("Connection", "close")
 	c.discard()
+	c.closes(closedRejected)
 	// Behind the answer net/http reads what is left of the body, for a close with bytes unread would
 	// reset the connection before the client has read the answer; but neither for long nor all of a large
 	// one, which would cost the others the processor. An error here means that the connection is gone.
--- a/internal/node/testing_test.go
+++ b/internal/node/testing_test.go
@@ -119,7 +119,7 @@
 	}
 	ctx, cancel := context.WithCancel(context.Background())
 	ended := make(chan error, 1)
-	go func() { ended <- Run(ctx, c, Doors{Clients: ln}, nil) }()
+	go func() { ended <- Run(ctx, c, Listeners{Clients: ln}, nil) }()
 	stopped := false
 	stop = func() error {
 		if stopped {
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -11,6 +11,7 @@
 	"strings"
 	"time"
 
+	"cobaltward/internal/invariant"
 	"cobaltward/policy"
 )
 
@@ -30,6 +31,7 @@
 // trace is what the log tells of requests: a line for one that ended badly, with its whole history, and
 // a summary of the counts now and then. Only the loop touches it.
 type trace struct {
+	metrics *metrics
 	second  time.Duration // the one that lines were written in
 	lines   map[string]int
 	skipped int // lines left out since the last summary
@@ -72,10 +74,13 @@
 // attempt notes how an attempt ended, with the network's own word where it has one.
 func (t *trace) attempt(now policy.Time, r *request, n int, e result) {
 	a := &r.attempts[n]
-	a.took, a.code, a.over = now-a.sent, e.code, true
+	a.took = now - a.sent
 	count(&t.outcomes, e.code.String())
+	t.metrics.attempts.WithLabelValues(e.code.String()).Inc()
+	t.metrics.attemptTime.Observe(a.took.Seconds())
 	if e.opened {
 		t.opened++
+		t.metrics.opened.Inc()
 	}
 	if t.servers == nil {
 		t.servers = make(map[string]*served)
@@ -109,13 +114,18 @@
 	switch {
 	case a.status == http.StatusOK:
 		t.served++
+		t.metrics.requests.WithLabelValues(resultServed).Inc()
 		return
 	case a.status == http.StatusTooManyRequests || a.status == http.StatusServiceUnavailable:
 		count(&t.refused, by)
+		t.metrics.requests.WithLabelValues(resultRefused).Inc()
+		t.metrics.refusals.WithLabelValues(by).Inc()
 	case a.status == 0:
 		t.gone++
+		t.metrics.requests.WithLabelValues(resultLeft).Inc()
 	default:
 		t.failed++
+		t.metrics.requests.WithLabelValues(resultFailed).Inc()
 		level = slog.LevelWarn
 	}
 	if !slog.Default().Enabled(context.Background(), level) || !t.mayWrite(now, by) {
@@ -213,9 +223,10 @@
 }
 
 // summary writes the counts since the last one, and what the module goes by.
-func (t *trace) summary(open, clients, evicted int, state string) {
+func (t *trace) summary(open, clients, evicted int, state string, monitor *invariant.Monitor) {
+	denied, violated := monitor.Counts()
 	slog.Info("summary", "clients", clients, "evicted", evicted, "arrived", t.arrived, "served", t.served, "refused", t.refused, "failed", t.failed,
 		"gone", t.gone, "open", open, "attempts", t.outcomes, "opened", t.opened,
-		"lines_left_out", t.skipped, "servers", t.ended(), "module", state)
-	*t = trace{second: t.second, lines: t.lines}
+		"denied", denied, "violations", violated, "lines_left_out", t.skipped, "servers", t.ended(), "module", state)
+	*t = trace{metrics: t.metrics, second: t.second, lines: t.lines}
 }
--- a/internal/node/trace_test.go
+++ b/internal/node/trace_test.go
@@ -11,6 +11,7 @@
 	"testing"
 	"time"
 
+	"cobaltward/internal/invariant"
 	"cobaltward/policy"
 )
 
@@ -27,9 +28,9 @@
 // A request that ended badly leaves one line with its id, who ended it, and all its attempts.
 func TestTraceTellsHowARequestEnded(t *testing.T) {
 	log := captureLog(t)
-	var tr trace
+	tr := trace{metrics: newMetrics()}
 	r := &request{exchange: testExchange(http.MethodGet, "r1", "")}
-	r.attempts = []attempt{{server: "s-a", sent: r.came + time.Millisecond}}
+	r.attempts = []attempt{{server: "s-a", sent: r.came + time.Millisecond, over: true, code: policy.ConnectFailed}}
 	tr.attempt(r.came+3*time.Millisecond, r, 0, result{code: policy.ConnectFailed, opened: true, err: errors.New("refused")})
 	tr.answered(r.came+4*time.Millisecond, r, answer{status: http.StatusServiceUnavailable}, "no server has room")
 	for _, want := range []string{"id=r1", `by="no server has room"`, "after=4ms", "s-a@1.0ms=connect failed:2.0ms", "err=refused"} {
@@ -44,7 +45,7 @@
 	if log.Len() > 0 {
 		t.Errorf("a served request is logged: %s", log)
 	}
-	tr.summary(2, 0, 0, "state")
+	tr.summary(2, 0, 0, "state", new(invariant.Monitor))
 	for _, want := range []string{"served=1", `refused="map[no server has room:1]"`, `attempts="map[connect failed:1 ok:1]"`, "opened=1",
 		`servers="s-a=2/1/6ms[0.25 7]"`} {
 		if !strings.Contains(log.String(), want) {
@@ -56,7 +57,7 @@
 // An overload doesn't drown the log; what is left out is counted.
 func TestTraceIsBounded(t *testing.T) {
 	log := captureLog(t)
-	var tr trace
+	tr := trace{metrics: newMetrics()}
 	r := &request{exchange: testExchange(http.MethodGet, "r1", "")}
 	for i := range 3 * linesPerSecond {
 		tr.answered(time.Hour+time.Duration(i), r, answer{status: http.StatusBadGateway}, "x")
@@ -103,7 +104,7 @@
 
 // Of many servers a summary tells those that went wrong and those that did most, and how many it leaves out.
 func TestSummaryOfManyServersIsBounded(t *testing.T) {
-	var tr trace
+	tr := trace{metrics: newMetrics()}
 	tr.servers = make(map[string]*served)
 	for i := range 39000 {
 		tr.servers[fmt.Sprintf("s%05d", i)] = &served{ended: 1, ok: 1}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -312,6 +312,12 @@
 	u.count(0)
 }
 
+func (u *upstream) inUse() int {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return u.open
+}
+
 func (u *upstream) bounded() int {
 	u.mu.Lock()
 	defer u.mu.Unlock()
@@ -369,11 +375,12 @@
 
 // attemptHost is told how an attempt goes.
 type attemptHost struct {
-	until    time.Time           // when it times out; a large body puts that off by the time it takes
-	by       time.Time           // it must not begin later; zero: at any time
-	left     context.Context     // ends when the client has left: from then on it must not begin
-	uploaded func(time.Duration) // a large body went on whole; not called for others
-	end      func(result)        // called once, with a large answer as it begins to come
+	until       time.Time           // when it times out; a large body puts that off by the time it takes
+	by          time.Time           // it must not begin later; zero: at any time
+	clientWaits time.Time           // when the client stops waiting; zero: that can't be told yet
+	left        context.Context     // ends when the client has left: from then on it must not begin
+	uploaded    func(time.Duration) // a large body went on whole; not called for others
+	end         func(result)        // called once, with a large answer as it begins to come
 }
 
 var errTimeUp = errors.New("the attempt's time is up")
@@ -396,16 +403,24 @@
 	c, err := u.acquire(begin, host.left, id)
 	over := context.Cause(begin)
 	cancelBegin()
-	if err == nil && (over != nil || host.left.Err() != nil) {
+	denied := u.mayWrite(c, x, host, err, over)
+	if denied != invariant.None {
+		u.monitor.Deny(denied)
+	}
+	if err == nil && denied != invariant.None {
 		u.release(c, id, true) // not a byte was written on it
 	}
 	if over != nil {
 		err = over
 	}
 	switch {
-	case host.left.Err() != nil:
+	case denied == invariant.AttemptAfterDeparture:
 		host.end(result{code: policy.Cancelled, err: errLeft})
 		return
+	case denied == invariant.SendToLeavingServer && err == nil:
+		err = errLeaving
+	}
+	switch {
 	case (errors.Is(err, errNoSockets) || errors.Is(err, errTooLate)) && ctx.Err() == nil:
 		host.end(result{code: policy.Moot}) // nothing was sent, and the server is not to blame
 		return
@@ -438,6 +453,24 @@
 	u.release(c, id, stop() && reusable)
 }
 
+// mayWrite puts the facts of an attempt whose first byte is about to be written before the rules.
+func (u *upstream) mayWrite(c *conn, x *exchange, host attemptHost, acquired, over error) invariant.Rule {
+	return invariant.MayWrite(invariant.Write{
+		ClientLeft:    host.left.Err() != nil || x.rest == nil && x.client.presence() != present,
+		ServerUnknown: errors.Is(acquired, errUnknown),
+		ServerLeaving: errors.Is(acquired, errLeaving) || c != nil && u.isLeaving(c.pool),
+		WindowOver:    errors.Is(over, errTooLate),
+		TimeUp:        over != nil && !errors.Is(over, errTooLate),
+	})
+}
+
+// isLeaving tells whether nothing new may go to the server of a pool.
+func (u *upstream) isLeaving(p *pool) bool {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	return p.leaving.Err() != nil
+}
+
 // try is one attempt on its connection.
 type try struct {
 	*upstream
@@ -720,8 +753,7 @@
 			req.Header.Set(name, v)
 		}
 	}
-	left := max(1, time.Until(t.host.until).Milliseconds())
-	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(left, 10))
+	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(t.tellWait(x), 10))
 	switch {
 	case x.rest != nil:
 		body := io.MultiReader(bytes.NewReader(x.body), goesOn{x})
@@ -735,6 +767,19 @@
 	return req
 }
 
+// tellWait is how long the server is told that the client waits, in milliseconds.
+func (t *try) tellWait(x *exchange) int64 {
+	told := time.Until(t.host.until)
+	if t.host.clientWaits.IsZero() {
+		return max(1, told.Milliseconds())
+	}
+	if broken := invariant.MayTell(told, time.Until(t.host.clientWaits)); broken != invariant.None {
+		t.monitor.Misdirected(broken, x.req.ID, "told", told)
+		told = time.Until(t.host.clientWaits)
+	}
+	return max(1, told.Milliseconds())
+}
+
 // goesOn is the part of a large body that is not held. Once it is read, none of the body is.
 type goesOn struct{ x *exchange }
 
--- a/internal/scale/standins_test.go
+++ b/internal/scale/standins_test.go
@@ -42,7 +42,7 @@
 	}
 	ctx, cancel := context.WithCancel(t.Context())
 	ended := make(chan error, 1)
-	go func() { ended <- node.Run(ctx, c, node.Doors{Clients: ln}, nil) }()
+	go func() { ended <- node.Run(ctx, c, node.Listeners{Clients: ln}, nil) }()
 	defer func() {
 		cancel()
 		if err := <-ended; err != nil {
