--- /dev/null
+++ b/cmd/soak/main.go
@@ -0,0 +1,195 @@
+// Command soak runs node processes under overlapping troubles that a seed draws, and judges them by the rules.
+package main
+
+import (
+	"context"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"log/slog"
+	"os"
+	"os/exec"
+	"os/signal"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"syscall"
+	"time"
+
+	"github.com/alecthomas/kong"
+
+	"cobaltward/internal/soak"
+)
+
+const (
+	maxSeeds    = 1000
+	maxParallel = 8
+	mostShown   = 20 // findings of a run that are printed
+)
+
+// errBroken is the end of a run in which a rule was broken.
+var errBroken = errors.New("a rule was broken")
+
+type command struct {
+	Seed     uint64        `help:"Of the plan." default:"1"`
+	Seeds    string        `help:"Play these seeds one after the other instead, both ends among them." placeholder:"A..B"`
+	Duration time.Duration `help:"Of each run." default:"60s"`
+	Nodes    int           `help:"Node processes." default:"24"`
+	Servers  int           `help:"Stand-ins for transcribers." default:"10"`
+	Faults   string        `help:"Play these troubles only, separated by commas." placeholder:"A,B"`
+	Parallel int           `help:"Runs at once." default:"1"`
+	Out      string        `help:"Write the results there, as JSON." placeholder:"FILE"`
+	Logs     string        `help:"Keep the nodes' logs and configurations there." placeholder:"DIR"`
+	Node     string        `help:"The built node; it is built where none is named." placeholder:"FILE"`
+	Env      []string      `help:"A further variable of the nodes' environment." placeholder:"NAME=VALUE"`
+	Plan     bool          `help:"Print the plans and play nothing."`
+}
+
+// Run plays the seeds. It fails where a rule was broken.
+func (c command) Run(out io.Writer) error {
+	seeds, err := c.seeds()
+	if err != nil {
+		return err
+	}
+	faults, err := soak.ParseKinds(c.Faults)
+	if err != nil {
+		return err
+	}
+	if c.Parallel < 1 || c.Parallel > maxParallel {
+		return fmt.Errorf("parallel: want 1 to %d, got %d", maxParallel, c.Parallel)
+	}
+	options := soak.Options{Duration: c.Duration, Nodes: c.Nodes, Servers: c.Servers, Faults: faults}
+	if c.Plan {
+		return printPlans(out, options, seeds)
+	}
+	dir := c.Logs
+	if dir == "" {
+		if dir, err = os.MkdirTemp("", "soak-"); err != nil {
+			return err
+		}
+		defer os.RemoveAll(dir)
+	}
+	if dir, err = filepath.Abs(dir); err != nil {
+		return err
+	}
+	if c.Node == "" {
+		c.Node = filepath.Join(dir, "wayhold")
+		if err := os.MkdirAll(dir, 0o700); err != nil {
+			return err
+		}
+		if text, err := exec.Command("go", "build", "-o", c.Node, "cobaltward/cmd/wayhold").CombinedOutput(); err != nil {
+			return fmt.Errorf("build: %w: %s", err, text)
+		}
+	}
+	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
+	defer stop()
+	results, err := c.play(ctx, out, options, seeds, dir)
+	if c.Out != "" {
+		err = errors.Join(err, write(c.Out, results))
+	}
+	return err
+}
+
+// play runs the seeds, some at once, and returns their results in order.
+func (c command) play(ctx context.Context, out io.Writer, options soak.Options, seeds []uint64, dir string) ([]soak.Result, error) {
+	results, errs := make([]soak.Result, len(seeds)), make([]error, len(seeds))
+	turns := make(chan struct{}, c.Parallel)
+	var all sync.WaitGroup
+	var printing sync.Mutex
+	for i, seed := range seeds {
+		turns <- struct{}{}
+		all.Go(func() {
+			defer func() { <-turns }()
+			o := options
+			o.Seed = seed
+			results[i], errs[i] = soak.Execute(ctx, soak.Settings{Binary: c.Node, Env: c.Env, Options: o,
+				Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed))})
+			printing.Lock()
+			defer printing.Unlock()
+			print(out, seed, results[i], errs[i])
+		})
+	}
+	all.Wait()
+	err := errors.Join(errs...)
+	for _, r := range results {
+		if r.Broken() {
+			return results, errors.Join(err, errBroken)
+		}
+	}
+	return results, err
+}
+
+func print(out io.Writer, seed uint64, r soak.Result, err error) {
+	if err != nil {
+		fmt.Fprintf(out, "seed %d: %v\n", seed, err)
+		return
+	}
+	fmt.Fprintf(out, "seed %d: %d troubles, %d requests %v, %d attempts, %d left, %d crossed, %d died, %d bad peers, %d starts (slowest %v), "+
+		"%d kB, %d descriptors; %d findings, node violations %v, denials %v\n", seed, len(r.Plan.Troubles), r.Counts.Requests,
+		r.Counts.Statuses, r.Counts.Attempts, r.Counts.Left, r.Counts.Crossed, r.Counts.Died, r.Counts.BadPeers, r.Starts,
+		r.SlowestUp.Round(time.Millisecond), r.MemoryKB, r.Sockets, len(r.Findings), r.Violations, r.Denials)
+	for i, f := range r.Findings {
+		if i == mostShown {
+			fmt.Fprintf(out, "  and %d more\n", len(r.Findings)-mostShown)
+			break
+		}
+		fmt.Fprintf(out, "  %s at %v, node %d, %s: %s\n", f.Rule, f.At.Round(time.Millisecond), f.Node, f.ID, f.Detail)
+	}
+}
+
+func printPlans(out io.Writer, options soak.Options, seeds []uint64) error {
+	for _, seed := range seeds {
+		options.Seed = seed
+		plan, err := soak.Draw(options)
+		if err != nil {
+			return err
+		}
+		fmt.Fprintf(out, "seed %d: subscribe %v, hedging %v, %.1f requests a second to each node\n", seed, plan.Subscribe, plan.Hedging, plan.Rate)
+		for _, t := range plan.Troubles {
+			fmt.Fprintln(out, " ", t)
+		}
+	}
+	return nil
+}
+
+func write(name string, results []soak.Result) error {
+	raw, err := json.MarshalIndent(results, "", " ")
+	if err != nil {
+		return err
+	}
+	return os.WriteFile(name, append(raw, '\n'), 0o644)
+}
+
+// seeds are those that the arguments ask for.
+func (c command) seeds() ([]uint64, error) {
+	if c.Seeds == "" {
+		return []uint64{c.Seed}, nil
+	}
+	first, last, ok := strings.Cut(c.Seeds, "..")
+	from, err1 := strconv.ParseUint(first, 10, 64)
+	to, err2 := strconv.ParseUint(last, 10, 64)
+	if !ok || err1 != nil || err2 != nil || to < from || to-from >= maxSeeds {
+		return nil, fmt.Errorf("seeds: want A..B, %d of them at most, got %q", maxSeeds, c.Seeds)
+	}
+	var all []uint64
+	for seed := from; seed <= to; seed++ {
+		all = append(all, seed)
+	}
+	return all, nil
+}
+
+func main() {
+	slog.SetDefault(slog.New(slog.NewTextHandler(os.Stderr, nil)))
+	var c command
+	parser := kong.Must(&c, kong.Name("soak"), kong.Description("Run node processes under overlapping troubles, and judge them."))
+	if _, err := parser.Parse(os.Args[1:]); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(2)
+	}
+	if err := c.Run(os.Stdout); err != nil {
+		fmt.Fprintln(os.Stderr, "soak:", err)
+		os.Exit(1)
+	}
+}
--- /dev/null
+++ b/internal/soak/node.go
@@ -0,0 +1,364 @@
+package soak
+
+import (
+	"bufio"
+	"encoding/json"
+	"errors"
+	"fmt"
+	"io"
+	"net"
+	"net/http"
+	"os"
+	"os/exec"
+	"path/filepath"
+	"strconv"
+	"strings"
+	"sync"
+	"sync/atomic"
+	"syscall"
+	"time"
+)
+
+const (
+	readyPoll     = 50 * time.Millisecond
+	readyLatest   = 30 * time.Second
+	readyUpgrade  = 6 * time.Second
+	killSlack     = 700 * time.Millisecond // after the longest deadline SIGKILL follows SIGTERM
+	longestSpan   = 3 * time.Second        // that counts as the longest deadline, at least
+	inheritedFD   = 5
+	frontDrops    = 200 * time.Millisecond // between a no and the end of new connections
+	nodeMemoryMB  = 64
+	nodeSockets   = 256
+	scrapeTimeout = time.Second
+)
+
+// process is one process of a node.
+type process struct {
+	cmd     *exec.Cmd
+	admin   string
+	ended   chan struct{} // closed when it has ended
+	err     error         // how, once it has
+	told    atomic.Bool   // to end
+	killed  atomic.Bool
+	pump    atomic.Bool // its log is read
+	logRead io.Closer   // nil where the log is a file
+}
+
+// node is one node over all its processes.
+type node struct {
+	number  int
+	run     *Run
+	listen  string
+	held    *os.File // the clients' listening socket, where the platform holds it
+	dir     string
+	config  string
+	binary  string
+	env     []string
+	logPipe bool
+
+	turn sync.Mutex // of whoever starts or ends its processes
+
+	mu       sync.Mutex
+	current  *process
+	lastKill time.Time
+	ready    bool // as the front sees it
+	saidNo   time.Time
+	readies  []time.Duration
+}
+
+// start starts a process. It is the node's current one at once.
+func (n *node) start() (*process, error) {
+	admin, err := freeAddress()
+	if err != nil {
+		return nil, err
+	}
+	p := &process{cmd: exec.Command(n.binary), admin: admin, ended: make(chan struct{})}
+	p.pump.Store(true)
+	p.cmd.Env = append([]string{"ROUTER_CONFIG=" + n.config, "ROUTER_OPERATOR=" + admin, "TMPDIR=" + n.dir}, n.env...)
+	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
+	if n.held != nil {
+		p.cmd.Env = append(p.cmd.Env, "ROUTER_INHERITED_FD="+strconv.Itoa(inheritedFD))
+		p.cmd.ExtraFiles = []*os.File{n.held, n.held, n.held}
+	}
+	log, err := os.OpenFile(filepath.Join(n.dir, "log"), os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return nil, err
+	}
+	defer log.Close()
+	p.cmd.Stderr = log
+	if n.logPipe {
+		if err := p.pipeLog(filepath.Join(n.dir, "log")); err != nil {
+			return nil, err
+		}
+		defer p.cmd.Stderr.(*os.File).Close()
+	}
+	if err := p.cmd.Start(); err != nil {
+		return nil, fmt.Errorf("node %d: %w", n.number, err)
+	}
+	n.run.judge.Started(n.number, time.Now())
+	go func() {
+		p.err = p.cmd.Wait()
+		close(p.ended)
+		n.looked(p)
+	}()
+	n.mu.Lock()
+	n.current = p
+	n.mu.Unlock()
+	return p, nil
+}
+
+// pipeLog has the process log to a pipe that is read for as long as pump says.
+func (p *process) pipeLog(name string) error {
+	read, write, err := os.Pipe()
+	if err != nil {
+		return err
+	}
+	to, err := os.OpenFile(name, os.O_APPEND|os.O_CREATE|os.O_WRONLY, 0o600)
+	if err != nil {
+		return errors.Join(err, read.Close(), write.Close())
+	}
+	p.cmd.Stderr, p.logRead = write, read
+	go func() {
+		defer to.Close()
+		in := bufio.NewReader(read)
+		for {
+			if !p.pump.Load() {
+				select {
+				case <-p.ended:
+					return
+				case <-time.After(readyPoll):
+					continue
+				}
+			}
+			line, err := in.ReadBytes('\n')
+			_, _ = to.Write(line)
+			if err != nil {
+				return
+			}
+		}
+	}()
+	return nil
+}
+
+// looked judges how a process ended.
+func (n *node) looked(p *process) {
+	if p.killed.Load() || p.told.Load() && p.err == nil {
+		return
+	}
+	n.run.judge.Find(ruleCrash, n.number, "the process ended with %v (told to end: %v); %s", p.err, p.told.Load(), n.lastLine())
+}
+
+func (n *node) lastLine() string {
+	raw, err := os.ReadFile(filepath.Join(n.dir, "log"))
+	if err != nil {
+		return err.Error()
+	}
+	text := strings.TrimSpace(string(raw))
+	if at := strings.Index(text, "panic:"); at >= 0 {
+		return text[at:min(len(text), at+400)]
+	}
+	return text[max(0, strings.LastIndexByte(text, '\n')):]
+}
+
+// process is the current one.
+func (n *node) process() *process {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.current
+}
+
+// awaitReady waits until a process says that it is ready, and notes how long that took.
+func (n *node) awaitReady(p *process, within time.Duration) {
+	began := time.Now()
+	for !statusOK("http://" + p.admin + "/status") {
+		select {
+		case <-p.ended:
+			return
+		case <-time.After(readyPoll):
+		}
+		if time.Since(began) > within {
+			n.run.judge.Find(ruleNotReady, n.number, "not ready after %v", within)
+			return
+		}
+	}
+	n.mu.Lock()
+	n.readies = append(n.readies, time.Since(began))
+	n.mu.Unlock()
+}
+
+// follow asks for readiness as the front does, until the run ends.
+func (n *node) follow() {
+	tick := time.NewTicker(100 * time.Millisecond)
+	defer tick.Stop()
+	for range tick.C {
+		if n.run.ctx.Err() != nil {
+			return
+		}
+		yes := statusOK("http://" + n.listen + "/health/ready")
+		n.mu.Lock()
+		switch {
+		case yes:
+			n.ready, n.saidNo = true, time.Time{}
+		case n.ready && n.saidNo.IsZero():
+			n.saidNo = time.Now()
+		case n.ready && time.Since(n.saidNo) > frontDrops:
+			n.ready = false
+		}
+		n.mu.Unlock()
+	}
+}
+
+func (n *node) takesClients() bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.ready
+}
+
+// died tells whether a process of the node was killed, or ended, since a time.
+func (n *node) died(since time.Time) bool {
+	n.mu.Lock()
+	defer n.mu.Unlock()
+	return n.lastKill.After(since)
+}
+
+func (n *node) signal(p *process, s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
+
+// kill ends a process outright.
+func (n *node) kill(p *process) {
+	p.killed.Store(true)
+	n.mu.Lock()
+	n.lastKill = time.Now()
+	n.mu.Unlock()
+	n.signal(p, syscall.SIGKILL)
+	<-p.ended
+	n.mu.Lock()
+	n.lastKill = time.Now() // all that came before is excused
+	n.mu.Unlock()
+}
+
+// end tells a process to end, and waits for that as long as the platform does.
+func (n *node) end(p *process) {
+	p.told.Store(true)
+	n.signal(p, syscall.SIGTERM)
+	select {
+	case <-p.ended:
+	case <-time.After(longestSpan + killSlack):
+		n.run.judge.Find(ruleNotEnded, n.number, "runs %v after SIGTERM", longestSpan+killSlack)
+		n.kill(p)
+	}
+}
+
+// restart starts a process anew after one has ended.
+func (n *node) restart() error {
+	p, err := n.start()
+	if err != nil {
+		return err
+	}
+	n.awaitReady(p, readyLatest)
+	return nil
+}
+
+// upgrade has a second process take over.
+func (n *node) upgrade() error {
+	old := n.process()
+	p, err := n.start()
+	if err != nil {
+		return err
+	}
+	n.awaitReady(p, readyUpgrade)
+	n.end(old)
+	return nil
+}
+
+// breakLog has whoever reads the process's log go, or stop reading.
+func (n *node) breakLog(p *process, gone bool) {
+	p.pump.Store(false)
+	if gone && p.logRead != nil {
+		p.logRead.Close()
+	}
+}
+
+// counters reads the process's own counts of rules that were broken.
+func (p *process) counters() (violations, denials map[string]int64, err error) {
+	client := http.Client{Timeout: scrapeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + p.admin + "/metrics")
+	if err != nil {
+		return nil, nil, err
+	}
+	defer resp.Body.Close()
+	violations, denials = make(map[string]int64), make(map[string]int64)
+	lines := bufio.NewScanner(resp.Body)
+	for lines.Scan() {
+		into := violations
+		rest, ok := strings.CutPrefix(lines.Text(), `wayhold_rule_violations_total{rule="`)
+		if !ok {
+			if rest, ok = strings.CutPrefix(lines.Text(), `wayhold_rule_denials_total{rule="`); !ok {
+				continue
+			}
+			into = denials
+		}
+		name, value, _ := strings.Cut(rest, `"} `)
+		count, err := strconv.ParseFloat(value, 64)
+		if err != nil {
+			return nil, nil, fmt.Errorf("metrics: %q: %w", lines.Text(), err)
+		}
+		into[name] += int64(count)
+	}
+	return violations, denials, lines.Err()
+}
+
+// memoryKB is a field of the process's status, in kB.
+func (p *process) memoryKB(name string) int64 {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/status", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	for _, line := range strings.Split(string(raw), "\n") {
+		if rest, ok := strings.CutPrefix(line, name+":"); ok {
+			kb, _ := strconv.ParseInt(strings.TrimSpace(strings.TrimSuffix(rest, "kB")), 10, 64)
+			return kb
+		}
+	}
+	return 0
+}
+
+// descriptors is how many the process has open.
+func (p *process) descriptors() int {
+	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	return len(files)
+}
+
+// writeConfig writes the configuration file in one step, as the platform does.
+func writeConfig(name string, config any) error {
+	raw, err := json.Marshal(config)
+	if err != nil {
+		return err
+	}
+	if err := os.WriteFile(name+".new", raw, 0o600); err != nil {
+		return err
+	}
+	return os.Rename(name+".new", name)
+}
+
+func statusOK(url string) bool {
+	client := http.Client{Timeout: scrapeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get(url)
+	if err != nil {
+		return false
+	}
+	_, _ = io.Copy(io.Discard, resp.Body)
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
+func freeAddress() (string, error) {
+	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	if err != nil {
+		return "", err
+	}
+	defer ln.Close()
+	return ln.Addr().String(), nil
+}
--- /dev/null
+++ b/internal/soak/plan.go
@@ -0,0 +1,187 @@
+// Package soak runs many real node processes on loopback under overlapping troubles that a seed draws, and judges what
+// their clients, servers and discovery saw by the rules that nodes have to keep.
+package soak
+
+import (
+	"fmt"
+	"math/rand/v2"
+	"slices"
+	"strings"
+	"time"
+)
+
+// Kind names a trouble.
+type Kind string
+
+// The troubles, by what they strike.
+const (
+	NodeTerm     Kind = "term"        // SIGTERM; a new process starts once the old one has ended
+	NodeKill     Kind = "kill"        // SIGKILL; a new process starts at once
+	NodeReload   Kind = "reload"      // discovery moves, SIGHUP up to three times in a row
+	NodePause    Kind = "pause"       // SIGSTOP for up to 0.15 s, several times
+	NodeUpgrade  Kind = "upgrade"     // a second process takes over
+	LogClosed    Kind = "log-closed"  // the reader of standard error goes
+	LogStalled   Kind = "log-stalled" // it stops reading
+	ServerHang   Kind = "hang"        // requests are never answered
+	ServerReset  Kind = "reset"       // connections are reset under requests
+	ServerForget Kind = "forget"      // connections at rest are reset
+	ServerTwice  Kind = "twice"       // a second answer comes right behind the first
+	ServerEnd    Kind = "endless"     // answers never end
+	ServerPieces Kind = "pieces"      // answers come in pieces, some without a length
+	ServerErrors Kind = "errors"      // errors and refusals
+	ServerLate   Kind = "late"        // answers come late
+	ServerDrain  Kind = "drain"       // listed as draining, then as up again
+	ServerRemove Kind = "remove"      // taken off the list, then listed again
+	ServerCold   Kind = "cold"        // restarts, and is in slow start
+	RegistryDown Kind = "registry-down"
+	RegistryMute Kind = "registry-silent"
+	RegistrySlow Kind = "registry-slow"
+	RegistryCut  Kind = "registry-reset" // open watches are reset once
+	ClientsLeave Kind = "leave"          // clients close before their answer
+	ClientsFlood Kind = "flood"          // clients send far more behind a request, and go
+	ClientsStop  Kind = "stop-midway"    // clients stop in the middle of a request, and stay
+	ClientsSlow  Kind = "slow-clients"   // clients write in pieces
+	ClientsIdle  Kind = "idle-clients"   // idle connections fill the descriptors
+	ClientsQueue Kind = "pipeline"       // clients send many requests at once
+)
+
+// Kinds are all troubles.
+var Kinds = []Kind{NodeTerm, NodeKill, NodeReload, NodePause, NodeUpgrade, LogClosed, LogStalled, ServerHang, ServerReset,
+	ServerForget, ServerTwice, ServerEnd, ServerPieces, ServerErrors, ServerLate, ServerDrain, ServerRemove, ServerCold,
+	RegistryDown, RegistryMute, RegistrySlow, RegistryCut, ClientsLeave, ClientsFlood, ClientsStop, ClientsSlow, ClientsIdle,
+	ClientsQueue}
+
+// strikes tells what a kind's targets are numbers of.
+func (k Kind) strikes() string {
+	switch k {
+	case NodeTerm, NodeKill, NodeReload, NodePause, NodeUpgrade, LogClosed, LogStalled, ClientsFlood, ClientsStop, ClientsIdle,
+		ClientsQueue:
+		return "nodes"
+	case ServerHang, ServerReset, ServerForget, ServerTwice, ServerEnd, ServerPieces, ServerErrors, ServerLate, ServerDrain,
+		ServerRemove, ServerCold:
+		return "servers"
+	}
+	return ""
+}
+
+// Trouble is one trouble of a plan.
+type Trouble struct {
+	Kind    Kind          `json:"kind"`
+	At      time.Duration `json:"at"`
+	For     time.Duration `json:"for"`
+	Targets []int         `json:"targets,omitempty"` // nodes or servers, by what the kind strikes
+}
+
+// String is the trouble in one line, for the progress.
+func (t Trouble) String() string {
+	return fmt.Sprintf("%s at %v for %v on %v", t.Kind, t.At.Round(time.Millisecond), t.For.Round(time.Millisecond), t.Targets)
+}
+
+// Options are what a run is asked for.
+type Options struct {
+	Seed     uint64
+	Duration time.Duration
+	Nodes    int
+	Servers  int
+	Faults   []Kind // the only kinds; empty: all
+}
+
+// Plan is what a seed draws: the same options draw the same plan.
+type Plan struct {
+	Seed      uint64        `json:"seed"`
+	Duration  time.Duration `json:"duration"`
+	Nodes     int           `json:"nodes"`
+	Servers   int           `json:"servers"`
+	Subscribe bool          `json:"subscribe"` // discovery has to be asked
+	Hedging   bool          `json:"hedging"`   // two attempts of a request may be out at once
+	Rate      float64       `json:"rate"`      // requests a second to each node
+	Troubles  []Trouble     `json:"troubles"`
+}
+
+const (
+	calmStart  = 3 * time.Second // before the first trouble
+	calmEnd    = 6 * time.Second // after the last
+	groupApart = 3 * time.Second // mean time between the beginnings of two groups of troubles
+	groupSpan  = 2 * time.Second // in which the troubles of a group begin
+	quietTime  = time.Minute     // before some groups, where a run is long
+	longRun    = 3 * time.Minute
+	maxNodes   = 200
+)
+
+// Draw draws the plan of a run. Errors name the option.
+func Draw(o Options) (Plan, error) {
+	switch {
+	case o.Nodes < 1 || o.Nodes > maxNodes:
+		return Plan{}, fmt.Errorf("nodes: want 1 to %d, got %d", maxNodes, o.Nodes)
+	case o.Servers < 2 || o.Servers > maxNodes:
+		return Plan{}, fmt.Errorf("servers: want 2 to %d, got %d", maxNodes, o.Servers)
+	case o.Duration < calmStart+calmEnd:
+		return Plan{}, fmt.Errorf("duration: want %v or more, got %v", calmStart+calmEnd, o.Duration)
+	}
+	kinds := o.Faults
+	if len(kinds) == 0 {
+		kinds = Kinds
+	}
+	rng := rand.New(rand.NewPCG(o.Seed, 1))
+	p := Plan{Seed: o.Seed, Duration: o.Duration, Nodes: o.Nodes, Servers: o.Servers, Subscribe: rng.IntN(2) == 0,
+		Hedging: rng.IntN(4) == 0, Rate: 10 + 10*rng.Float64()}
+	quiet := o.Duration >= longRun
+	for at := calmStart; at < o.Duration-calmEnd; {
+		if quiet && rng.IntN(4) == 0 {
+			at += quietTime
+			quiet = false
+			continue
+		}
+		for range 2 + rng.IntN(2) {
+			t := p.draw(rng, kinds[rng.IntN(len(kinds))], at+time.Duration(rng.Float64()*float64(groupSpan)))
+			if t.At+t.For < o.Duration-calmEnd/2 {
+				p.Troubles = append(p.Troubles, t)
+			}
+		}
+		at += groupSpan/2 + time.Duration(rng.ExpFloat64()*float64(groupApart))
+	}
+	slices.SortStableFunc(p.Troubles, func(a, b Trouble) int { return int(a.At - b.At) })
+	return p, nil
+}
+
+func (p *Plan) draw(rng *rand.Rand, kind Kind, at time.Duration) Trouble {
+	t := Trouble{Kind: kind, At: at, For: time.Second + time.Duration(rng.Float64()*float64(4*time.Second))}
+	var of, most int
+	switch kind.strikes() {
+	case "nodes":
+		of, most = p.Nodes, max(1, p.Nodes/4)
+	case "servers":
+		of, most = p.Servers, max(1, p.Servers/3)
+	default:
+		return t
+	}
+	t.Targets = rng.Perm(of)[:1+rng.IntN(most)]
+	slices.Sort(t.Targets)
+	return t
+}
+
+// Strikes tells whether the plan has a trouble of a kind on a target.
+func (p Plan) Strikes(target int, kinds ...Kind) bool {
+	for _, t := range p.Troubles {
+		if slices.Contains(kinds, t.Kind) && slices.Contains(t.Targets, target) {
+			return true
+		}
+	}
+	return false
+}
+
+// ParseKinds reads a list of kinds, separated by commas.
+func ParseKinds(text string) ([]Kind, error) {
+	if text == "" {
+		return nil, nil
+	}
+	var kinds []Kind
+	for _, word := range strings.Split(text, ",") {
+		kind := Kind(strings.TrimSpace(word))
+		if !slices.Contains(Kinds, kind) {
+			return nil, fmt.Errorf("faults: unknown %q; there are %v", kind, Kinds)
+		}
+		kinds = append(kinds, kind)
+	}
+	return kinds, nil
+}
