--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -26,6 +26,8 @@
 	number int
 	judge  *Judge
 	ln     net.Listener
+	// closesAfterAnswer has each connection serve one request.
+	closesAfterAnswer bool
 
 	kind    atomic.Value // of Kind: how it misbehaves now
 	inWork  atomic.Int64
@@ -150,6 +152,9 @@
 			c.server.judge.AttemptEnded(a, time.Now(), false)
 			return
 		}
+		if c.server.closesAfterAnswer {
+			return
+		}
 	}
 }
 
