--- a/cmd/wayhold/main_test.go
+++ b/cmd/wayhold/main_test.go
@@ -130,3 +130,67 @@
 		}
 	}
 }
+
+// A configuration that can't be read as the signal comes, or is only half there, is read again until it can be: the old
+// address of discovery is about to close.
+func TestReloadIsTriedAgainUntilTheFileIsWhole(t *testing.T) {
+	first, atFirst := agent(t)
+	second, atSecond := agent(t)
+	path := filepath.Join(t.TempDir(), "config.json")
+	config := func(discovery string) string {
+		return fmt.Sprintf(`{"name":"n","listen":"127.0.0.1:0","discovery":%q,"seed":"1",
+			"limits":{"cores":1,"memory_mb":64,"sockets":256},"known":{"revision":1,"complete":true,"members":[%s]},
+			"settings":{"position":0,"groupSize":1,"services":[{"name":"x","deadline":600,"repeat":"free"}]}}`, discovery, someServer)
+	}
+	write := func(text string) {
+		if err := os.WriteFile(path+".new", []byte(text), 0o600); err != nil {
+			t.Fatal(err)
+		}
+		if err := os.Rename(path+".new", path); err != nil {
+			t.Fatal(err)
+		}
+	}
+	write(config(first))
+	t.Setenv("ROUTER_CONFIG", path)
+	ended := make(chan error, 1)
+	go func() { ended <- run(nil) }()
+	receive(t, "the first call", atFirst)
+	reads := countReads(t, path)
+	write(config(second)[:100])
+	if err := syscall.Kill(os.Getpid(), syscall.SIGHUP); err != nil {
+		t.Fatal(err)
+	}
+	receive(t, "a look at the half file", reads)
+	write(config(second))
+	receive(t, "the call at the second address", atSecond)
+	if err := syscall.Kill(os.Getpid(), syscall.SIGTERM); err != nil {
+		t.Fatal(err)
+	}
+	if err := receive(t, "the end", ended); err != nil {
+		t.Error(err)
+	}
+}
+
+// countReads tells of each time that a file in the folder of the given one is opened and closed again.
+func countReads(t *testing.T, path string) <-chan struct{} {
+	t.Helper()
+	watch, err := syscall.InotifyInit1(syscall.IN_CLOEXEC)
+	if err != nil {
+		t.Fatal(err)
+	}
+	if _, err := syscall.InotifyAddWatch(watch, filepath.Dir(path), syscall.IN_CLOSE_NOWRITE); err != nil {
+		t.Fatal(err)
+	}
+	reads := make(chan struct{}, 100)
+	f := os.NewFile(uintptr(watch), "inotify")
+	t.Cleanup(func() { f.Close() })
+	go func() {
+		for {
+			if _, err := f.Read(make([]byte, 4096)); err != nil {
+				return
+			}
+			reads <- struct{}{}
+		}
+	}()
+	return reads
+}
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -535,3 +537,32 @@
 		}
 	}
 }
+
+// What this machine lacks for a moment as a connection is made is not held against the server: the dial is tried again,
+// and where the lack lasts, the attempt was not made.
+func TestOwnLackIsNoServersFault(t *testing.T) {
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) {})
+	for _, code := range []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH,
+		syscall.ECONNABORTED, syscall.ENFILE, syscall.EMFILE, syscall.EINTR} {
+		for _, lasts := range []bool{false, true} {
+			u := testUpstream(t, addr)
+			dial, failed := u.dial, 0
+			u.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				if failed++; lasts || failed <= 2 {
+					return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", code)}
+				}
+				return dial(ctx, network, addr)
+			}
+			want := policy.OK
+			if lasts {
+				want = policy.Moot
+			}
+			if got := ended(t, u, testExchange(http.MethodGet, "r1", "")); got.code != want {
+				t.Errorf("%v, lasting %v: %v, want %v", code, lasts, got.code, want)
+			}
+			if open, idle := u.counts("s0"); open != idle {
+				t.Errorf("%v, lasting %v: %d connections open, %d idle", code, lasts, open, idle)
+			}
+		}
+	}
+}
