Try again what a dial, a start or a reload lacks for a moment

Causes: a dial that failed with ENOBUFS, ENOMEM, EAGAIN, ENETUNREACH or ECONNABORTED counted as the server's failure, and one for want of descriptors or ports gave the request up at once; SIGHUP read the configuration once, so that a file that could not be read, or was half written, left the node at an address that closes 1.5 s later; a start ended where a listener or the file failed for a moment. Change: syserr.Retry goes on while errors pass: dials for 0.1 s, then the attempt was not made (moot); starts for 5 s; joining an upgrade's folder for 2 s. A reload is tried for a minute, also for a file that can't be parsed. Related: adopting the inherited descriptor retries inside, for the file it is taken from is closed at the end.

--- a/cmd/wayhold/inherit.go
+++ b/cmd/wayhold/inherit.go
@@ -35,8 +35,8 @@
 	}
 	f := os.NewFile(uintptr(fd), "clients")
 	defer f.Close() // the listener has a copy
-	l, err := net.FileListener(f)
-	if err != nil {
+	var l net.Listener
+	if err := atStart(func() (err error) { l, err = net.FileListener(f); return err }); err != nil {
 		return nil, fmt.Errorf("%s: %w", inheritedVar, err)
 	}
 	return l, nil
--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -16,11 +16,26 @@
 
 	"cobaltward/internal/logging"
 	"cobaltward/internal/node"
+	"cobaltward/internal/syserr"
 )
 
 // heapPart of the memory limit is the runtime's; stacks of the system and the sockets take the rest.
 const heapPart = 0.6
 
+// A configuration that can't be read at a signal is read again for so long, after pauses. The old address of discovery
+// closes 1.5 s after the signal, and what the new one has counts 4 s after it.
+const (
+	reloadFor       = time.Minute
+	reloadPause     = 10 * time.Millisecond
+	reloadPauseMost = time.Second
+)
+
+// A start is tried again for so long, after pauses: nine in ten have to be ready within 10 s.
+const (
+	startWithin    = 5 * time.Second
+	startPauseMost = 100 * time.Millisecond
+)
+
 // lastLinesWithin bounds how long the process waits at its end for its log to be taken.
 const lastLinesWithin = 200 * time.Millisecond
 
@@ -44,8 +59,8 @@
 	// Both are handled until the process has gone: a signal that came after the handlers would end it as a crash.
 	hup := make(chan os.Signal, 1) // one more that is waiting stands for all: the file is read after it
 	signal.Notify(hup, syscall.SIGHUP)
-	c, err := node.LoadConfig(os.Getenv)
-	if err != nil {
+	var c node.Config
+	if err := atStart(func() (err error) { c, err = node.LoadConfig(os.Getenv); return err }); err != nil {
 		return err
 	}
 	c.LogDropped = logDropped
@@ -58,15 +73,16 @@
 	go func() { <-term; stop() }()
 	var listeners node.Listeners
 	if text := os.Getenv(inheritedVar); text != "" {
+		var err error
 		if listeners.Clients, err = inherit(text); err != nil {
 			return err
 		}
 		c.Handover = os.Getenv("TMPDIR")
-	} else if listeners.Clients, err = net.Listen("tcp", c.Listen); err != nil {
+	} else if err := listen(&listeners.Clients, c.Listen); err != nil {
 		return fmt.Errorf("listen: %w", err)
 	}
 	if c.Operator != "" {
-		if listeners.Operators, err = net.Listen("tcp", c.Operator); err != nil {
+		if err := listen(&listeners.Operators, c.Operator); err != nil {
 			return fmt.Errorf("operator: %w", err)
 		}
 		slog.Info("listening to operators", "address", listeners.Operators.Addr())
@@ -78,23 +94,46 @@
 	return node.Run(ctx, c, listeners, moves)
 }
 
-// reload reads the configuration again at each SIGHUP until done; the newest address stands in moves.
+// atStart tries again what fails by a lack that passes: a process that ends at its start has crashed.
+func atStart(try func() error) error {
+	return syserr.Retry(context.Background(), startWithin, syserr.Backoff{First: reloadPause, Most: startPauseMost}, try)
+}
+
+func listen(to *net.Listener, address string) error {
+	return atStart(func() (err error) { *to, err = net.Listen("tcp", address); return err })
+}
+
+// reload reads the configuration again at each SIGHUP until done; the newest address stands in moves. A file that can't
+// be read, or isn't whole, is read again for a while: descriptors may be short just then, or its writer may not be done.
 func reload(hup <-chan os.Signal, moves chan string, done <-chan struct{}) {
+	var again <-chan time.Time // nil: nothing is left to read
+	var late time.Time
+	var backoff syserr.Backoff
 	for {
 		select {
 		case <-hup:
+			backoff = syserr.Backoff{First: reloadPause, Most: reloadPauseMost}
+			late = time.Now().Add(reloadFor)
+		case <-again:
 		case <-done:
 			return
 		}
+		again = nil
 		addr, err := node.ReloadDiscovery(os.Getenv)
-		if err != nil {
-			slog.Error("reload: keeping the old configuration", "err", err)
+		if err == nil {
+			select {
+			case <-moves:
+			default:
+			}
+			moves <- addr
 			continue
 		}
-		select {
-		case <-moves:
-		default:
+		if time.Now().After(late) {
+			slog.Error("reload: keeping the old configuration for good", "err", err)
+			continue
 		}
-		moves <- addr
+		pause := backoff.Next()
+		slog.Error("reload: keeping the old configuration for now", "err", err, "again_in", pause)
+		again = time.After(pause)
 	}
 }
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -78,15 +79,13 @@
 }
 
 // joinPatiently is join, again for a while where the folder, or the process, lacks something for a moment.
-func joinPatiently(dir string) (*handover, error) {
-	backoff := syserr.Backoff{First: folderPause, Most: folderPauseMost}
-	for late := time.Now().Add(joinWithin); ; {
-		h, err := join(dir)
-		if err == nil || !syserr.Passes(err) || time.Now().After(late) {
-			return h, err
-		}
-		time.Sleep(backoff.Next())
-	}
+func joinPatiently(dir string) (h *handover, err error) {
+	pauses := syserr.Backoff{First: folderPause, Most: folderPauseMost}
+	err = syserr.Retry(context.Background(), joinWithin, pauses, func() (err error) {
+		h, err = join(dir)
+		return err
+	})
+	return h, err
 }
 
 // flock takes a lock at once or not at all.
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -17,6 +17,7 @@
 
 	"cobaltward/internal/discovery"
 	"cobaltward/internal/invariant"
+	"cobaltward/internal/syserr"
 	"cobaltward/policy"
 )
 
@@ -31,6 +32,10 @@
 	// some milliseconds late, so that one that rested for restLong goes first; but a new one costs more than it helps.
 	restFor  = 3 * time.Millisecond
 	restLong = 10 * time.Millisecond
+	// A dial that failed by what this machine lacks is tried again for dialAgainFor, after pauses.
+	dialAgainFor  = 100 * time.Millisecond
+	dialPause     = 2 * time.Millisecond
+	dialPauseMost = 20 * time.Millisecond
 )
 
 var (
@@ -38,7 +43,7 @@
 	errLeaving   = errors.New("the server began to leave before anything was sent")
 	errLeft      = errors.New("the client left before anything was sent")
 	errTooLate   = errors.New("the time in which it may be sent again is over")
-	errNoSockets = errors.New("no descriptor is left for another connection")
+	errNoSockets = errors.New("nothing is left for another connection")
 	errSpoilt    = errors.New("the answer can't be read")
 )
 
@@ -223,7 +228,7 @@
 	defer cancel(nil)
 	defer context.AfterFunc(leaving, func() { cancel(errLeaving) })()
 	defer context.AfterFunc(left, func() { cancel(errLeft) })()
-	tcp, err := u.dial(ctx, "tcp", p.addr)
+	tcp, err := u.dialPatiently(ctx, p.addr)
 	if err == nil && leaving.Err() != nil {
 		tcp.Close()
 		err = errLeaving
@@ -233,7 +238,7 @@
 		switch {
 		case leaving.Err() != nil:
 			return nil, errLeaving
-		case errors.Is(err, syscall.EMFILE) || errors.Is(err, syscall.ENFILE) || errors.Is(err, syscall.EADDRNOTAVAIL):
+		case syserr.Passes(err):
 			return nil, errNoSockets
 		}
 		return nil, err
@@ -241,6 +246,16 @@
 	return &conn{TCPConn: tcp.(*net.TCPConn), pool: p}, nil
 }
 
+// dialPatiently opens a connection, again for a moment where this machine lacks what it takes.
+func (u *upstream) dialPatiently(ctx context.Context, addr string) (net.Conn, error) {
+	var tcp net.Conn
+	err := syserr.Retry(ctx, dialAgainFor, syserr.Backoff{First: dialPause, Most: dialPauseMost}, func() (err error) {
+		tcp, err = u.dial(ctx, "tcp", addr)
+		return err
+	})
+	return tcp, err
+}
+
 // reserve returns the idle connection last used of those that have rested, or counts one that the
 // caller is to make.
 func (u *upstream) reserve(id string) (p *pool, c *conn, leaving context.Context, err error) {
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -48,6 +48,7 @@
 type node struct {
 	number  int
 	run     *Run
+	host    string // a loopback address of its own
 	listen  string
 	held    *os.File // the clients' listening socket, where the platform holds it
 	dir     string
@@ -68,7 +69,7 @@
 
 // start starts a process. It is the node's current one at once.
 func (n *node) start() (*process, error) {
-	admin, err := freeAddress()
+	admin, err := freeAddress(n.host)
 	if err != nil {
 		return nil, err
 	}
@@ -354,8 +355,9 @@
 	return resp.StatusCode == http.StatusOK
 }
 
-func freeAddress() (string, error) {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+// freeAddress is one of a loopback host that no other run uses meanwhile.
+func freeAddress(host string) (string, error) {
+	ln, err := net.Listen("tcp", net.JoinHostPort(host, "0"))
 	if err != nil {
 		return "", err
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -24,7 +24,8 @@
 	readyPart    = 0.9  // of the starts that have to be ready in time
 	readyIn      = 10 * time.Second
 	pauseMost    = 150 * time.Millisecond
-	growthRoom   = 8 << 10 // kB by which a process may grow over the second half of a long run
+	firstNet     = 20 // second number of the nodes' loopback addresses, which runs at once don't share
+	nets         = 200
 )
 
 // Settings of a run that are not drawn.
@@ -123,7 +124,8 @@
 	if err := os.MkdirAll(n.dir, 0o700); err != nil {
 		return err
 	}
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	n.host = fmt.Sprintf("127.%d.%d.1", firstNet+r.plan.Seed%nets, number)
+	ln, err := net.Listen("tcp", net.JoinHostPort(n.host, "0"))
 	if err != nil {
 		return err
 	}
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -29,13 +29,12 @@
 	// closesAfterAnswer has each connection serve one request.
 	closesAfterAnswer bool
 
-	kind    atomic.Value // of Kind: how it misbehaves now
-	inWork  atomic.Int64
-	mu      sync.Mutex
-	rng     *rand.Rand
-	conns   map[*serverConn]bool
-	recent  []time.Time // of the last second, for its reports
-	stopped bool
+	kind   atomic.Value // of Kind: how it misbehaves now
+	inWork atomic.Int64
+	mu     sync.Mutex
+	rng    *rand.Rand
+	conns  map[*serverConn]bool
+	recent []time.Time // of the last second, for its reports
 }
 
 func newServer(number int, judge *Judge, seed uint64) (*server, error) {
--- a/internal/syserr/syserr.go
+++ b/internal/syserr/syserr.go
@@ -2,6 +2,7 @@
 package syserr
 
 import (
+	"context"
 	"errors"
 	"net"
 	"syscall"
@@ -69,3 +70,19 @@
 
 // Reset begins anew, after a try that succeeded.
 func (b *Backoff) Reset() { b.last = 0 }
+
+// Retry tries a call again for as long as its errors pass, up to the given time from now or the end of ctx, and returns
+// the last error; nil once a try has succeeded.
+func Retry(ctx context.Context, within time.Duration, pauses Backoff, try func() error) error {
+	for late := time.Now().Add(within); ; {
+		err := try()
+		if err == nil || !Passes(err) || ctx.Err() != nil || time.Now().After(late) {
+			return err
+		}
+		select {
+		case <-time.After(pauses.Next()):
+		case <-ctx.Done():
+			return err
+		}
+	}
+}
--- a/internal/syserr/syserr_test.go
+++ b/internal/syserr/syserr_test.go
@@ -5,8 +5,10 @@
 	"fmt"
 	"net"
 	"os"
+	"slices"
 	"syscall"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -40,3 +42,30 @@
 		t.Error("does not begin anew")
 	}
 }
+
+func TestRetryGoesOnWhileErrorsPass(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		for name, c := range map[string]struct {
+			errs  []error
+			tries int
+			fails bool
+		}{
+			"at once":        {nil, 1, false},
+			"passing":        {[]error{syscall.EMFILE, syscall.EINTR}, 3, false},
+			"one that lasts": {[]error{syscall.EMFILE, syscall.EADDRINUSE, nil}, 2, true},
+			"too long":       {slices.Repeat([]error{syscall.EMFILE}, 1000), 12, true},
+		} {
+			tries := 0
+			err := Retry(t.Context(), time.Second, Backoff{First: 100 * time.Millisecond, Most: 100 * time.Millisecond}, func() error {
+				tries++
+				if tries <= len(c.errs) {
+					return c.errs[tries-1]
+				}
+				return nil
+			})
+			if tries != c.tries || (err != nil) != c.fails {
+				t.Errorf("%s: %d tries, %v; want %d", name, tries, err, c.tries)
+			}
+		}
+	})
+}
