Take no cold server for a warm one after a step of the wall clock

Cause: clock.unix turned up_since_ms into the node's time by the wall clock as it was at the start. Where the machines' clock is stepped back by an hour, a server that has just started counts as an hour old, so warm, and is sent as much as others; stepped forward, it counts as cold for 25 hours (a scratch test on the tree before: 1h0m0s and -1h0m0s old). Change: serverStarts keeps what the wall clock would have shown at the node's start by each step that it sees, and takes a start by the reading that makes the server youngest, but not younger than just started; a start once understood stays as it is. Measured: steps by an hour and by 5 s, both ways, of the node's machine alone and of the registry's too.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -34,7 +34,7 @@
 	maxIDs           = 1 << 15
 )
 
-// clock turns the machine's clocks into policy.Time. The wall clock is read once, at the start.
+// clock turns the machine's monotonic clock into policy.Time.
 type clock struct{ start time.Time }
 
 func (c clock) now() policy.Time { return timeOrigin + time.Since(c.start) }
@@ -44,17 +44,6 @@
 
 func (c clock) at(t policy.Time) time.Time { return c.start.Add(t - timeOrigin) }
 
-// unix converts a server's start from Unix milliseconds; 0 stays 0, and so does what lies before the
-// origin, which is just as long ago.
-func (c clock) unix(ms int64) policy.Time {
-	if ms == 0 {
-		return 0
-	}
-	most := timeOrigin.Milliseconds() // nor may a start far ahead overflow
-	ago := min(max(c.start.UnixMilli()-ms, -most), most)
-	return timeOrigin - time.Duration(ago)*time.Millisecond
-}
-
 // module is the policy.Balancer.
 type module interface {
 	Handle(now policy.Time, ev policy.Event) []policy.Action
@@ -82,8 +71,9 @@
 	requests map[string]*request
 	members  map[string]discovery.Member // the list as it stands
 	listedAt int64                       // its revision
-	heard    bool                        // by discovery, since the start
-	lastSent map[string]sending          // to each server listed; for the log
+	starts   *serverStarts
+	heard    bool               // by discovery, since the start
+	lastSent map[string]sending // to each server listed; for the log
 	used     ids
 	owed     int // requests without their answer
 	stopping bool
@@ -168,7 +158,7 @@
 	}
 	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up, monitor: up.monitor, metrics: newMetrics(),
 		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}), serves: make(chan struct{}),
-		classes: make(map[string]policy.Class), requests: make(map[string]*request), lastSent: make(map[string]sending), used: ids{seed: maphash.MakeSeed()}}
+		classes: make(map[string]policy.Class), requests: make(map[string]*request), lastSent: make(map[string]sending), starts: newServerStarts(ck), used: ids{seed: maphash.MakeSeed()}}
 	for _, class := range c.Settings.Classes {
 		l.classes[class.Name] = class
 	}
@@ -211,6 +201,7 @@
 			l.handle(attemptsCtx, ev)
 		case <-wake.C:
 		case now := <-sweep.C:
+			l.starts.read()
 			l.up.sweep(now)
 			if l.clients != nil {
 				l.clients.closeExpired(now)
@@ -353,7 +344,9 @@
 	members := make([]policy.Member, len(n.Members))
 	for i, m := range n.Members {
 		members[i] = m.Member
-		members[i].OnlineSince = l.clock.unix(m.UpSince)
+		if m.Availability != policy.Removed {
+			members[i].OnlineSince = l.starts.of(m.Server, m.UpSince)
+		}
 	}
 	began := l.clock.now()
 	l.tell(ctx, policy.MemberList{Kind: n.Kind, Members: members})
@@ -387,6 +380,7 @@
 		}
 		if l.members[m.Server] = m; m.Availability == policy.Removed {
 			delete(l.members, m.Server)
+			l.starts.forget(m.Server)
 		}
 	}
 	if n.Kind == policy.ListUpdate {
@@ -397,7 +391,11 @@
 		listed[m.Server] = true
 	}
 	for id, m := range old {
-		if m.Availability == policy.Running && !listed[id] {
+		if listed[id] {
+			continue
+		}
+		l.starts.forget(id)
+		if m.Availability == policy.Running {
 			m.Availability = policy.Removed
 			leaving = append(leaving, m)
 		}
