--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -566,3 +566,49 @@
 		}
 	}
 }
+
+// A server that once sent what nobody had asked for may do so again, a little later: its connections rest for longer
+// before they are used again, or the stray answer would be taken for the next request's.
+func TestConnectionsRestForLongerAtServersThatSendUnasked(t *testing.T) {
+	var accepted atomic.Int32
+	addr := rawServer(t, func(c net.Conn, in *bufio.Reader) {
+		stray := accepted.Add(1) == 1
+		for swallow(in) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			if stray {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+		}
+	})
+	u := testUpstream(t, addr)
+	request := func(id string) {
+		t.Helper()
+		if r := ended(t, u, testExchange(http.MethodGet, id, "")); r.code != policy.OK {
+			t.Fatal(r.code, r.err)
+		}
+	}
+	restedFor := func(d time.Duration) {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		for _, c := range u.pools["s0"].idle {
+			c.used = time.Now().Add(-d)
+		}
+	}
+	request("r1") // behind it comes the stray answer, at once or later
+	await(t, "the stray answer to be noticed", func() bool {
+		u.sweep(time.Now())
+		_, idle := u.counts("s0")
+		return idle == 0
+	})
+	request("r2")
+	restedFor(restLong)
+	request("r3")
+	if n := accepted.Load(); n != 3 {
+		t.Errorf("%d connections, want a third, for the second rested for %v only", n, restLong)
+	}
+	restedFor(time.Second)
+	request("r4")
+	if n := accepted.Load(); n != 3 {
+		t.Errorf("%d connections; one that has rested for long is not used again", n)
+	}
+}
