Rest connections for longer at servers that send what nobody asked for

Change: bytes behind an answer, or on a connection at rest, are noted with the server's process; for 10 s from then on its connections rest for 50 ms before they are used again. They are counted: wayhold_unasked_answers_total. Open: the first stray answer of a server can still be taken for another request's.

--- a/internal/node/accept.go
+++ b/internal/node/accept.go
@@ -5,6 +5,7 @@
 	"net"
 	"time"
 
+	"cobaltward/internal/faultpoint"
 	"cobaltward/internal/syserr"
 )
 
@@ -14,13 +15,20 @@
 	acceptPauseMost = 100 * time.Millisecond
 )
 
+func acceptOnce(l net.Listener) (net.Conn, error) {
+	if err := faultpoint.Fail(faultpoint.Accept); err != nil {
+		return nil, err
+	}
+	return l.Accept()
+}
+
 // acceptPatiently accepts the next connection. Linux hands on errors of the connection itself through accept(2), and
 // those of what the system lacks for a moment; net/http would take most of them for the listener's end. It returns an
 // error only once the listener is closed or can never accept.
 func acceptPatiently(l net.Listener) (net.Conn, error) {
 	backoff := syserr.Backoff{First: acceptPause, Most: acceptPauseMost}
 	for {
-		conn, err := l.Accept()
+		conn, err := acceptOnce(l)
 		if err == nil || syserr.Classify(err) == syserr.Final {
 			return conn, err
 		}
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -183,7 +183,6 @@
 	if n = c.takeReadAhead(p); n > 0 || len(p) == 0 {
 		return n, nil
 	}
-	waited := false // for what came; else it may have come before anyone looked
 	failed := c.raw.Read(func(fd uintptr) bool {
 		c.owner.mu.Lock()
 		defer c.owner.mu.Unlock()
@@ -193,14 +192,12 @@
 			return true
 		}
 		if c.inFlight {
-			err = c.fillReadAhead(int(fd), waited)
-			waited = true
+			err = c.fillReadAhead(int(fd))
 			return err != nil
 		}
 		if n, err = readSocket(int(fd), p); n > 0 {
-			n = c.letRead(p[:n], c.arrival(int(fd), waited))
+			n = c.letRead(p[:n], c.arrival(int(fd)))
 		}
-		waited = true
 		return err != syscall.EAGAIN
 	})
 	if err == nil {
@@ -216,21 +213,17 @@
 	return n
 }
 
-// arrival is when what was just read came, or a little earlier: just now where the reader had waited for it, and else
-// when the connection's newest bytes did, but not after the read-ahead buffer was full.
-func (c *clientConn) arrival(fd int, waited bool) time.Time {
-	now := time.Now()
+// arrival is when what was just read came, as the system tells it: the process may have been held up since. Nothing
+// that is read once the read-ahead buffer was full is known to have come after that.
+func (c *clientConn) arrival(fd int) time.Time {
 	if !c.fullSince.IsZero() {
 		return c.fullSince
 	}
-	if waited {
-		return now
-	}
-	return now.Add(-lastDataAge(fd))
+	return time.Now().Add(-lastDataAge(fd))
 }
 
 // fillReadAhead keeps what has come behind the request in flight, and returns an error once the client has gone.
-func (c *clientConn) fillReadAhead(fd int, waited bool) error {
+func (c *clientConn) fillReadAhead(fd int) error {
 	for !c.lastTurn && len(c.readAhead.bytes) < aheadMost {
 		var piece [4 << 10]byte
 		n, err := readSocket(fd, piece[:min(len(piece), aheadMost-len(c.readAhead.bytes))])
@@ -241,7 +234,7 @@
 		case err != nil:
 			return err
 		}
-		c.readAhead.append(piece[:n], c.arrival(fd, waited))
+		c.readAhead.append(piece[:n], c.arrival(fd))
 	}
 	if c.fullSince.IsZero() {
 		c.fullSince = time.Now()
@@ -273,7 +266,7 @@
 		defer c.owner.mu.Unlock()
 		switch {
 		case !c.inFlight:
-		case c.fillReadAhead(int(fd), false) != nil:
+		case c.fillReadAhead(int(fd)) != nil:
 			found = departed
 		case !c.fullSince.IsZero() && unreadBytes(int(fd)) >= hidingBytes:
 			found = hidden
--- a/internal/node/config.go
+++ b/internal/node/config.go
@@ -15,6 +15,7 @@
 	"time"
 
 	"cobaltward/internal/discovery"
+	"cobaltward/internal/faultpoint"
 	"cobaltward/internal/field"
 	"cobaltward/internal/wire"
 	"cobaltward/policy"
@@ -108,6 +109,9 @@
 	if path == "" {
 		return Config{}, errors.New("ROUTER_CONFIG: not set")
 	}
+	if err := faultpoint.Fail(faultpoint.Config); err != nil {
+		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
+	}
 	f, err := os.Open(path)
 	if err != nil {
 		return Config{}, fmt.Errorf("ROUTER_CONFIG: %w", err)
--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"cobaltward/internal/faultpoint"
 	"cobaltward/internal/syserr"
 )
 
@@ -104,6 +105,9 @@
 // living returns the processes whose locks are held, and removes what the others left. Where it can't look at all of
 // them, it says so: nobody is dead for that.
 func living(dir string) (ids []int64, err error) {
+	if err := faultpoint.Fail(faultpoint.Folder); err != nil {
+		return nil, err
+	}
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, err
@@ -201,7 +205,9 @@
 
 func (h *handover) note() {
 	name, err := h.path(h.id, standbySuffix), error(nil)
-	if h.standby {
+	if failed := faultpoint.Fail(faultpoint.Folder); failed != nil {
+		err = failed
+	} else if h.standby {
 		err = os.WriteFile(name, nil, 0o600)
 	} else if err = os.Remove(name); errors.Is(err, os.ErrNotExist) {
 		_, err = os.Stat(h.dir) // in a folder that is there
@@ -219,6 +225,9 @@
 	if err != nil {
 		return err
 	}
+	if err := faultpoint.Fail(faultpoint.Folder); err != nil {
+		return err
+	}
 	name := h.path(h.id, stateSuffix)
 	if err := os.WriteFile(name+newSuffix, raw, 0o600); err != nil {
 		return err
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -60,9 +60,15 @@
 	return m
 }
 
+// newUnaskedCounter counts what servers sent unasked.
+func newUnaskedCounter() prometheus.Counter {
+	return prometheus.NewCounter(prometheus.CounterOpts{Name: "wayhold_unasked_answers_total",
+		Help: "Connections on which a server sent what nobody had asked for."})
+}
+
 // watch exports what others count: the rules, the connections, the phase and the log's lost lines.
 func (m *metrics) watch(monitor *invariant.Monitor, clients *clients, up *upstream, life *lifecycle, logDropped func() int64) {
-	m.registry.MustRegister(ruleCollector{monitor})
+	m.registry.MustRegister(ruleCollector{monitor}, up.unasked)
 	gauge := func(name, help string, value func() float64) {
 		m.registry.MustRegister(prometheus.NewGaugeFunc(prometheus.GaugeOpts{Name: name, Help: help}, value))
 	}
--- a/internal/node/queued_test.go
+++ b/internal/node/queued_test.go
@@ -125,3 +125,23 @@
 		}
 	}
 }
+
+// A request counts from when it came, also where the process was held up before it read it.
+func TestRequestCountsFromWhenItCame(t *testing.T) {
+	_, dial := testClients(t, 10)
+	theirs, ours := dial()
+	if _, err := io.WriteString(theirs, queuedRequest("r1", "")); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the request", func() bool { return unread(ours.TCPConn) })
+	came := time.Now()
+	const heldUp = 50 * time.Millisecond
+	<-time.After(heldUp)
+	if _, err := ours.Read(make([]byte, 4096)); err != nil {
+		t.Fatal(err)
+	}
+	const step = 10 * time.Millisecond // of the system's clock for it
+	if late := ours.arrived().Sub(came); late > step {
+		t.Errorf("it counts from %v after it came", late)
+	}
+}
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -4,10 +4,14 @@
 	"io"
 	"net"
 	"os"
+	"sync/atomic"
 	"syscall"
 	"time"
 
 	"golang.org/x/sys/unix"
+
+	"cobaltward/internal/faultpoint"
+	"cobaltward/internal/syserr"
 )
 
 // States of a TCP connection (tcp_states.h) in which the time of its last data can be told.
@@ -22,7 +26,7 @@
 // readSocket takes what has come: syscall.EAGAIN stands for nothing, and io.EOF for the peer's end.
 func readSocket(fd int, p []byte) (n int, err error) {
 	for {
-		n, err = syscall.Read(fd, p)
+		n, err = syscall.Read(fd, p[:faultpoint.Shorten(len(p))])
 		switch {
 		case err == syscall.EINTR:
 		case err == syscall.EAGAIN:
@@ -94,15 +98,22 @@
 	return n
 }
 
+// noDataAge is set once the system has refused to tell the age of a connection's data, and is not asked again.
+var noDataAge atomic.Bool
+
 // lastDataAge is how long ago the connection's newest bytes came (TCP_INFO, in steps of some milliseconds); 0 where the
 // system doesn't tell.
 func lastDataAge(fd int) time.Duration {
+	if noDataAge.Load() {
+		return 0
+	}
 	info, err := unix.GetsockoptTCPInfo(fd, unix.IPPROTO_TCP, unix.TCP_INFO)
-	if err != nil || info.State != tcpEstablished && info.State != tcpCloseWait {
+	if err != nil {
+		noDataAge.Store(!syserr.Passes(err))
 		return 0
 	}
 	age := time.Duration(info.Last_data_recv) * time.Millisecond
-	if age > longestDataAge {
+	if info.State != tcpEstablished && info.State != tcpCloseWait || age > longestDataAge {
 		return 0
 	}
 	return age
--- a/internal/node/starts.go
+++ b/internal/node/starts.go
@@ -4,6 +4,7 @@
 	"slices"
 	"time"
 
+	"cobaltward/internal/faultpoint"
 	"cobaltward/policy"
 )
 
@@ -36,11 +37,13 @@
 }
 
 func newServerStarts(c clock) *serverStarts {
-	s := &serverStarts{clock: c, wall: time.Now, known: make(map[string]serverStart)}
+	s := &serverStarts{clock: c, wall: wallClock, known: make(map[string]serverStart)}
 	s.read()
 	return s
 }
 
+func wallClock() time.Time { return time.Now().Add(faultpoint.WallStep()) }
+
 // read looks whether the wall clock was stepped.
 func (s *serverStarts) read() {
 	atOrigin := time.Duration(s.wall().UnixNano()) - s.clock.now()
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -15,7 +15,10 @@
 	"syscall"
 	"time"
 
+	"github.com/prometheus/client_golang/prometheus"
+
 	"cobaltward/internal/discovery"
+	"cobaltward/internal/faultpoint"
 	"cobaltward/internal/invariant"
 	"cobaltward/internal/syserr"
 	"cobaltward/policy"
@@ -32,6 +35,10 @@
 	// some milliseconds late, so that one that rested for restLong goes first; but a new one costs more than it helps.
 	restFor  = 3 * time.Millisecond
 	restLong = 10 * time.Millisecond
+	// restUnasked is how long connections rest at a server that has sent what nobody asked for within the last
+	// unaskedFor: stray answers come some milliseconds late, and later still where a machine is busy.
+	restUnasked = 50 * time.Millisecond
+	unaskedFor  = 10 * time.Second
 	// A dial that failed by what this machine lacks is tried again for dialAgainFor, after pauses.
 	dialAgainFor  = 100 * time.Millisecond
 	dialPause     = 2 * time.Millisecond
@@ -57,6 +64,7 @@
 	report  []string      // names of the figures of a load report, in order
 	room    *room         // for bodies
 	monitor *invariant.Monitor
+	unasked prometheus.Counter
 	readers sync.Pool // of *bufio.Reader
 	writers sync.Pool // of *bytes.Buffer
 
@@ -78,6 +86,7 @@
 	addr    string
 	upSince int64
 	idle    []*conn
+	unasked time.Time       // when its server last sent what nobody had asked for; zero: never
 	leaving context.Context // ends when nothing new may go there any more
 	leave   context.CancelFunc
 }
@@ -103,7 +112,7 @@
 	u := &upstream{
 		dial:    (&net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1}).DialContext,
 		idleFor: idle / 2, // what is written just as the server closes would end as a reset
-		report:  c.Settings.Report, monitor: new(invariant.Monitor), room: newRoom(c.MemoryMB, c.Cores), pools: make(map[string]*pool),
+		report:  c.Settings.Report, monitor: new(invariant.Monitor), unasked: newUnaskedCounter(), room: newRoom(c.MemoryMB, c.Cores), pools: make(map[string]*pool),
 		rests: make(map[*pool]struct{}), at: make(map[string]string), most: most,
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		writers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
@@ -168,6 +177,21 @@
 	}
 }
 
+// isQuiet tells whether an idle connection is open and has brought nothing. What its server sent unasked is noted.
+func (u *upstream) isQuiet(c *conn, now time.Time) bool {
+	n, err := peek(c.TCPConn)
+	if n > 0 {
+		u.noteUnasked(c.pool, now)
+	}
+	return err == syscall.EAGAIN
+}
+
+// noteUnasked notes that a server sent what nobody had asked for. The caller has the mutex.
+func (u *upstream) noteUnasked(p *pool, now time.Time) {
+	p.unasked = now
+	u.unasked.Inc()
+}
+
 // setIdle has p keep these connections idle. Sweeps and evictions look at pools that have any and no others: a walk
 // over all servers would hold the mutex, and with it every request, for milliseconds where they are tens of thousands.
 func (u *upstream) setIdle(p *pool, idle []*conn) {
@@ -203,7 +227,7 @@
 	for p := range u.rests {
 		var kept []*conn
 		for _, c := range p.idle {
-			if now.Sub(c.used) < u.idleFor && isIdle(c.TCPConn) {
+			if now.Sub(c.used) < u.idleFor && u.isQuiet(c, now) {
 				kept = append(kept, c)
 				continue
 			}
@@ -250,7 +274,9 @@
 func (u *upstream) dialPatiently(ctx context.Context, addr string) (net.Conn, error) {
 	var tcp net.Conn
 	err := syserr.Retry(ctx, dialAgainFor, syserr.Backoff{First: dialPause, Most: dialPauseMost}, func() (err error) {
-		tcp, err = u.dial(ctx, "tcp", addr)
+		if err = faultpoint.Fail(faultpoint.Dial); err == nil {
+			tcp, err = u.dial(ctx, "tcp", addr)
+		}
 		return err
 	})
 	return tcp, err
@@ -274,7 +300,7 @@
 		copy(p.idle[i:], p.idle[i+1:])
 		p.idle[last] = nil
 		u.setIdle(p, p.idle[:last])
-		if now.Sub(c.used) < u.idleFor && isIdle(c.TCPConn) {
+		if now.Sub(c.used) < u.idleFor && u.isQuiet(c, now) {
 			return p, c, p.leaving, nil
 		}
 		c.Close()
@@ -290,7 +316,11 @@
 // reusable returns which idle connection goes first: the last used of those that rested for long, else of those that
 // rested at all; below 0: none has.
 func (p *pool) reusable(now time.Time) int {
-	for _, rest := range []time.Duration{restLong, restFor} {
+	rests := []time.Duration{restLong, restFor}
+	if !p.unasked.IsZero() && now.Sub(p.unasked) < unaskedFor {
+		rests = []time.Duration{restUnasked}
+	}
+	for _, rest := range rests {
 		for i := len(p.idle) - 1; i >= 0; i-- {
 			if now.Sub(p.idle[i].used) >= rest {
 				return i
@@ -451,6 +481,11 @@
 	t := &try{upstream: u, c: c, x: x, host: host, limit: limit}
 	r, reusable := t.exchange(ctx)
 	r.opened, r.uses, r.idle, r.upload = uses == 0, uses, idle, t.upload
+	if t.unasked {
+		u.mu.Lock()
+		u.noteUnasked(c.pool, time.Now())
+		u.mu.Unlock()
+	}
 	more := r.answer.more
 	if more == nil {
 		u.release(c, id, stop() && reusable)
@@ -489,14 +524,15 @@
 // try is one attempt on its connection.
 type try struct {
 	*upstream
-	c      *conn
-	x      *exchange
-	host   attemptHost
-	limit  *time.Timer
-	upload time.Duration
-	in     *bufio.Reader
-	source io.LimitedReader // of in: bounds a head, and a body that is held
-	resp   *http.Response
+	c       *conn
+	x       *exchange
+	host    attemptHost
+	limit   *time.Timer
+	upload  time.Duration
+	unasked bool // bytes came behind the answer
+	in      *bufio.Reader
+	source  io.LimitedReader // of in: bounds a head, and a body that is held
+	resp    *http.Response
 }
 
 func (t *try) putBack() {
@@ -677,6 +713,7 @@
 	}
 	if n := t.in.Buffered(); n > 0 {
 		t.resp.Close = true
+		t.unasked = true
 		if behind, _ := t.in.Peek(min(n, len(statusLine))); string(behind) != statusLine[:len(behind)] {
 			r.answer.claim.free()
 			return fail(errSpoilt)
