--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -43,6 +43,7 @@
 	Out      string        `help:"Write the results there, as JSON." placeholder:"FILE"`
 	Logs     string        `help:"Keep the nodes' logs and configurations there." placeholder:"DIR"`
 	Node     string        `help:"The built node; it is built where none is named." placeholder:"FILE"`
+	Faulty   string        `help:"The node built with the tag faults; it is built where none is named." placeholder:"FILE"`
 	Env      []string      `help:"A further variable of the nodes' environment." placeholder:"NAME=VALUE"`
 	Plan     bool          `help:"Print the plans and play nothing."`
 }
@@ -74,14 +75,14 @@
 	if dir, err = filepath.Abs(dir); err != nil {
 		return err
 	}
-	if c.Node == "" {
-		c.Node = filepath.Join(dir, "wayhold")
-		if err := os.MkdirAll(dir, 0o700); err != nil {
-			return err
-		}
-		if text, err := exec.Command("go", "build", "-o", c.Node, "cobaltward/cmd/wayhold").CombinedOutput(); err != nil {
-			return fmt.Errorf("build: %w: %s", err, text)
-		}
+	if err := os.MkdirAll(dir, 0o700); err != nil {
+		return err
+	}
+	if err := build(&c.Node, filepath.Join(dir, "wayhold")); err != nil {
+		return err
+	}
+	if err := build(&c.Faulty, filepath.Join(dir, "wayhold-faults"), "-tags", "faults"); err != nil {
+		return err
 	}
 	ctx, stop := signal.NotifyContext(context.Background(), os.Interrupt, syscall.SIGTERM)
 	defer stop()
@@ -92,6 +93,19 @@
 	return err
 }
 
+// build builds the node into a file, unless a built one is named.
+func build(named *string, file string, flags ...string) error {
+	if *named != "" {
+		return nil
+	}
+	*named = file
+	args := append([]string{"build", "-o", file}, append(flags, "cobaltward/cmd/wayhold")...)
+	if text, err := exec.Command("go", args...).CombinedOutput(); err != nil {
+		return fmt.Errorf("build: %w: %s", err, text)
+	}
+	return nil
+}
+
 // play runs the seeds, some at once, and returns their results in order.
 func (c command) play(ctx context.Context, out io.Writer, options soak.Options, seeds []uint64, dir string) ([]soak.Result, error) {
 	results, errs := make([]soak.Result, len(seeds)), make([]error, len(seeds))
@@ -104,7 +118,7 @@
 			defer func() { <-turns }()
 			o := options
 			o.Seed = seed
-			results[i], errs[i] = soak.Execute(ctx, soak.Settings{Binary: c.Node, Env: c.Env, Options: o,
+			results[i], errs[i] = soak.Execute(ctx, soak.Settings{Binary: c.Node, Faulty: c.Faulty, Env: c.Env, Options: o,
 				Dir: filepath.Join(dir, fmt.Sprintf("seed-%d", seed))})
 			printing.Lock()
 			defer printing.Unlock()
@@ -147,6 +161,9 @@
 			return err
 		}
 		fmt.Fprintf(out, "seed %d: subscribe %v, hedging %v, %.1f requests a second to each node\n", seed, plan.Subscribe, plan.Hedging, plan.Rate)
+		for node, text := range plan.Faults {
+			fmt.Fprintf(out, "  node %d: %s\n", node, text)
+		}
 		for _, t := range plan.Troubles {
 			fmt.Fprintln(out, " ", t)
 		}
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -43,13 +43,15 @@
 	ClientsSlow  Kind = "slow-clients"   // clients write in pieces
 	ClientsIdle  Kind = "idle-clients"   // idle connections fill the descriptors
 	ClientsQueue Kind = "pipeline"       // clients send many requests at once
+	SystemCalls  Kind = "system-calls"   // of some nodes fail now and then, all through the run
+	WallSteps    Kind = "wall-steps"     // of some nodes' wall clocks, by seconds or by an hour
 )
 
 // Kinds are all troubles.
 var Kinds = []Kind{NodeTerm, NodeKill, NodeReload, NodePause, NodeUpgrade, LogClosed, LogStalled, ServerHang, ServerReset,
 	ServerForget, ServerTwice, ServerEnd, ServerPieces, ServerErrors, ServerLate, ServerDrain, ServerRemove, ServerCold,
 	RegistryDown, RegistryMute, RegistrySlow, RegistryCut, ClientsLeave, ClientsFlood, ClientsStop, ClientsSlow, ClientsIdle,
-	ClientsQueue}
+	ClientsQueue, SystemCalls, WallSteps}
 
 // strikes tells what a kind's targets are numbers of.
 func (k Kind) strikes() string {
@@ -96,6 +98,8 @@
 	Hedging   bool          `json:"hedging"`   // two attempts of a request may be out at once
 	Rate      float64       `json:"rate"`      // requests a second to each node
 	Troubles  []Trouble     `json:"troubles"`
+	// Faults are what the nodes are told whose system calls fail and whose clocks are stepped, by their number.
+	Faults map[int]string `json:"faults,omitempty"`
 }
 
 const (
@@ -125,6 +129,10 @@
 	rng := rand.New(rand.NewPCG(o.Seed, 1))
 	p := Plan{Seed: o.Seed, Duration: o.Duration, Nodes: o.Nodes, Servers: o.Servers, Subscribe: rng.IntN(2) == 0,
 		Hedging: rng.IntN(4) == 0, Rate: 10 + 10*rng.Float64()}
+	kinds = p.drawFaults(rng, kinds)
+	if len(kinds) == 0 {
+		return p, nil
+	}
 	quiet := o.Duration >= longRun
 	for at := calmStart; at < o.Duration-calmEnd; {
 		if quiet && rng.IntN(4) == 0 {
@@ -144,6 +152,28 @@
 	return p, nil
 }
 
+// drawFaults draws the nodes whose system calls fail or whose wall clocks are stepped, and returns the other kinds.
+func (p *Plan) drawFaults(rng *rand.Rand, kinds []Kind) []Kind {
+	p.Faults = make(map[int]string)
+	for node := range p.Nodes {
+		text := fmt.Sprintf("seed=%d", rng.Uint64()%1000)
+		faulty := false
+		if slices.Contains(kinds, SystemCalls) && rng.IntN(4) == 0 {
+			faulty = true
+			text += ",accept=0.05,dial=0.05,read=0.05,config=0.5,folder=0.3"
+		}
+		if slices.Contains(kinds, WallSteps) && rng.IntN(4) == 0 {
+			faulty = true
+			by := []time.Duration{-time.Hour, -4 * time.Second, 4 * time.Second, time.Hour}[rng.IntN(4)]
+			text += fmt.Sprintf(",step=%v@%v", by, time.Duration(rng.Float64()*float64(p.Duration)).Round(time.Millisecond))
+		}
+		if faulty {
+			p.Faults[node] = text
+		}
+	}
+	return slices.DeleteFunc(slices.Clone(kinds), func(k Kind) bool { return k == SystemCalls || k == WallSteps })
+}
+
 func (p *Plan) draw(rng *rand.Rand, kind Kind, at time.Duration) Trouble {
 	t := Trouble{Kind: kind, At: at, For: time.Second + time.Duration(rng.Float64()*float64(4*time.Second))}
 	var of, most int
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -14,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"cobaltward/internal/faultpoint"
 	"cobaltward/internal/scale"
 )
 
@@ -31,6 +32,7 @@
 // Settings of a run that are not drawn.
 type Settings struct {
 	Binary  string   // the built node
+	Faulty  string   // the same, built with the tag faults
 	Dir     string   // for configurations, logs and the nodes' folders
 	Env     []string // further environment of the nodes
 	Options Options
@@ -121,6 +123,10 @@
 func (r *Run) addNode(number int, entries []scale.Entry) error {
 	n := &node{number: number, run: r, dir: filepath.Join(r.settings.Dir, fmt.Sprintf("node-%03d", number)),
 		binary: r.settings.Binary, env: r.settings.Env, logPipe: r.plan.Strikes(number, LogClosed, LogStalled)}
+	if text, faulty := r.plan.Faults[number]; faulty {
+		n.binary = r.settings.Faulty
+		n.env = append(slices.Clone(n.env), faultpoint.Variable+"="+text)
+	}
 	if err := os.MkdirAll(n.dir, 0o700); err != nil {
 		return err
 	}
