Show that a request may wait for room for its body past its time

Found by reading: s.take waits for the room of bodies until its client leaves. Slow clients and hung servers hold that room for seconds, and the request, which its client has written whole, gets no final answer by then: trouble of others frees none of it.

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -15,6 +15,8 @@
 	"testing/synctest"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
@@ -625,3 +627,40 @@
 		}
 	}
 }
+
+// A request whose body finds no room, for others hold it all, is refused by the end of its time: it has been written
+// whole to a connection of the node's, and is owed its final answer.
+func TestBodyWithoutRoomIsRefusedInTime(t *testing.T) {
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) { t.Error("a request without room reaches a server") })
+	up := testUpstream(t, addr)
+	l, err := newLoop(testConfig(t, knownList(addr)), clock{start: time.Now()}, up)
+	if err != nil {
+		t.Fatal(err)
+	}
+	runLoop(t, l, addr)
+	node, _ := serveClients(t, l)
+	room := up.room
+	for _, part := range []*semaphore.Weighted{room.requests, room.largeRequests, room.held} {
+		all := int64(0)
+		for part.TryAcquire(1 << 10) {
+			all += 1 << 10
+		}
+		defer part.Release(all)
+	}
+	for _, length := range []int{100, wholeBody + 1} {
+		conn, err := net.Dial("tcp", node)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer conn.Close()
+		_ = conn.SetReadDeadline(time.Now().Add(long / 3))
+		if _, err := fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: r%d\r\nX-Class: pay\r\nX-Tenant: t\r\n"+
+			"X-Deadline-Ms: 200\r\nContent-Length: %d\r\n\r\n%s", length, length, strings.Repeat("x", length)); err != nil {
+			t.Fatal(err)
+		}
+		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+			t.Errorf("%d bytes: %v, %v; want a refusal that says when to come back", length, resp, err)
+		}
+	}
+}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -69,9 +69,12 @@
 
 // start starts a process. It is the node's current one at once.
 func (n *node) start() (*process, error) {
-	admin, err := freeAddress(n.host)
-	if err != nil {
-		return nil, err
+	admin := n.listen
+	for admin == n.listen { // which is free itself until the process listens there
+		var err error
+		if admin, err = freeAddress(n.host); err != nil {
+			return nil, err
+		}
 	}
 	p := &process{cmd: exec.Command(n.binary), admin: admin, ended: make(chan struct{})}
 	p.pump.Store(true)
