Refuse by the end of its time a request whose body finds no room

Cause: s.take waited for the room of bodies under the client's context alone. Where slow clients or hung servers' requests hold all of it, a request that its client had written whole waited on, past its time, and got no answer at all.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -278,6 +278,19 @@
 	return found
 }
 
+// holdsUnread tells whether so many bytes have come and wait to be read.
+func (c *clientConn) holdsUnread(length int64) (yes bool) {
+	if c == nil {
+		return false
+	}
+	failed := c.raw.Control(func(fd uintptr) {
+		c.owner.mu.Lock()
+		defer c.owner.mu.Unlock()
+		yes = int64(len(c.readAhead.bytes)+unreadBytes(int(fd))) >= length
+	})
+	return failed == nil && yes
+}
+
 // complete notes that a body whose length was not told has come whole.
 func (c *clientConn) complete() {
 	if c != nil {
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -214,7 +214,8 @@
 		select {
 		case <-look.C:
 		case <-late:
-			return false
+			time.Sleep(2 * lookEvery) // a process that was held up until now has not run since then
+			return clients.left() == 0
 		}
 	}
 	return true
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -15,6 +15,8 @@
 	"sync"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"cobaltward/internal/invariant"
 	"cobaltward/policy"
 )
@@ -292,6 +294,8 @@
 	switch {
 	case errors.Is(err, errTooLarge):
 		return http.StatusRequestEntityTooLarge, err.Error()
+	case errors.Is(err, errNoRoom):
+		return http.StatusServiceUnavailable, err.Error()
 	case errors.Is(err, errTooSlow) || errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout, errTooSlow.Error()
 	}
@@ -308,6 +312,9 @@
 	// reset the connection before the client has read the answer; but neither for long nor all of a large
 	// one, which would cost the others the processor. An error here means that the connection is gone.
 	_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerFor))
+	if status == http.StatusServiceUnavailable {
+		w.Header().Set("Retry-After", retryAfterText(ownRetryAfter))
+	}
 	http.Error(w, problem, status)
 }
 
@@ -359,7 +366,9 @@
 	if r.ContentLength > maxBody { // not a byte of it need be read
 		return nil, http.StatusRequestEntityTooLarge, errTooLarge.Error()
 	}
-	x = &exchange{method: method, length: r.ContentLength}
+	x = &exchange{method: method, length: r.ContentLength, client: clientOf(r)}
+	// No client waits longer than its class allows, whatever it says.
+	x.clientWaits = min(time.Duration(waits)*time.Millisecond, class.Deadline)
 	if err := s.take(w, r, x); err != nil {
 		x.claim.free()
 		status, problem = bodyProblem(err)
@@ -373,10 +382,8 @@
 	x.req = policy.Request{ID: id, Class: class.Name, Tenant: h.Get("X-Tenant"), Key: h.Get("X-Key"),
 		Hint: time.Duration(hint) * time.Microsecond, Retry: h.Get("X-Retry") == "1"}
 	x.url, x.host, x.key, x.contentType = r.URL, r.Host, h.Get("Idempotency-Key"), h.Get("Content-Type")
-	x.client, x.reply = clientOf(r), make(chan answer, 1)
+	x.reply = make(chan answer, 1)
 	x.came = s.loop.clock.of(x.client.arrived())
-	// No client waits longer than its class allows, whatever it says.
-	x.clientWaits = min(time.Duration(waits)*time.Millisecond, class.Deadline)
 	return x, 0, ""
 }
 
@@ -403,7 +410,7 @@
 		}
 	}
 	if x.claim == nil {
-		if x.claim, err = take(r.Context(), room, hold); err != nil {
+		if x.claim, err = s.waitForRoom(r, x, room, hold); err != nil {
 			return err
 		}
 	}
@@ -429,6 +436,35 @@
 	return err
 }
 
+// waitForRoom takes room for a body, but waits no longer than the client of one that has been written whole: it is owed
+// its final answer whoever holds the room. Of a larger body the rest comes only once there is room.
+func (s *server) waitForRoom(r *http.Request, x *exchange, room *semaphore.Weighted, bytes int64) (*claim, error) {
+	if claim := tryTake(room, bytes); claim != nil {
+		return claim, nil
+	}
+	ctx, cancel := context.WithCancelCause(r.Context())
+	defer cancel(nil)
+	look := time.NewTicker(max(time.Millisecond, x.clientWaits-x.margin()-time.Since(x.client.arrived())))
+	defer look.Stop()
+	go func() {
+		for {
+			select {
+			case <-look.C:
+				if x.length <= wholeBody || x.client.holdsUnread(x.length) {
+					cancel(errNoRoom)
+				}
+			case <-ctx.Done():
+				return
+			}
+		}
+	}()
+	claim, err := take(ctx, room, bytes)
+	if err != nil && context.Cause(ctx) == errNoRoom {
+		err = errNoRoom
+	}
+	return claim, err
+}
+
 // usableID guards the table of requests and the header it goes on in.
 func usableID(id string) bool {
 	for i := 0; i < len(id); i++ {
@@ -439,6 +475,11 @@
 	return id != "" && len(id) <= maxID
 }
 
+// retryAfterText is the header's value: seconds, whole or decimal (PROTOCOL).
+func retryAfterText(wait time.Duration) string {
+	return strconv.FormatFloat(wait.Seconds(), 'f', -1, 64)
+}
+
 func write(w http.ResponseWriter, a answer) {
 	// A client that reads nothing must not hold the handler for ever.
 	_ = http.NewResponseController(w).SetWriteDeadline(time.Now().Add(writeTimeout))
@@ -447,7 +488,7 @@
 		h.Set("Content-Type", a.contentType)
 	}
 	if a.retryAfter > 0 {
-		h.Set("Retry-After", strconv.FormatFloat(a.retryAfter.Seconds(), 'f', -1, 64))
+		h.Set("Retry-After", retryAfterText(a.retryAfter))
 	}
 	h.Set("Content-Length", strconv.Itoa(len(a.body)))
 	w.WriteHeader(a.status)
