--- a/policy/api.go
+++ b/policy/api.go
@@ -2,7 +2,8 @@
 // gets each attempt, and when to retry, hedge, refuse or fail. It is an event-driven state machine:
 // time and the random seed are handed in, and it starts no goroutines and does no I/O.
 //
-// This file is the interface (settings, events, actions); policy.go holds every decision.
+// This file is the interface (settings, events, actions). Each decision has a file of its own: balancer.go takes the
+// events, and admission, routing, attempts, connections, outcomes, outlier, slowstart and membership decide.
 package policy
 
 import (
--- a/policy/state.go
+++ b/policy/state.go
@@ -10,7 +10,7 @@
 	"time"
 )
 
-// The state that the decisions in policy.go keep; no decisions here.
+// The state that the decisions keep; no decisions here.
 
 // Balancer is one node's decisions. It isn't safe for concurrent use. Make one with New.
 type Balancer struct {
