Name the module's parts by the field's standard terms

Late responses, hash candidates, retry budget, failures recorded, idle connections refreshed, utilization, hung, queued, and the outcome NotSent.

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -211,7 +211,7 @@
 				if e.Code == policy.ConnectFailed {
 					return []policy.Action{{Kind: policy.Send, ID: e.ID, Server: "s1"}}
 				}
-				if e.Code == policy.Moot {
+				if e.Code == policy.NotSent {
 					return []policy.Action{{Kind: policy.Refuse, ID: e.ID}}
 				}
 			}
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -238,7 +238,7 @@
 		}
 		close(set)
 		l.arriveNow("r1", long)
-		module.has(t, "list 2", "request r1", fmt.Sprintf("outcome r1 0 code %d ended false", policy.Moot))
+		module.has(t, "list 2", "request r1", fmt.Sprintf("outcome r1 0 code %d ended false", policy.NotSent))
 		if len(got) > 0 {
 			t.Errorf("it was sent on (the connection comes up %v)", comes)
 		}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -589,8 +589,8 @@
 	}
 	n := len(r.attempts)
 	r.pending++
-	r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: func() {}, over: true, code: policy.Moot})
-	l.skipped = append(l.skipped, policy.Outcome{ID: a.ID, Server: a.Server, Attempt: n, Code: policy.Moot})
+	r.attempts = append(r.attempts, attempt{server: a.Server, sent: now, cancel: func() {}, over: true, code: policy.NotSent})
+	l.skipped = append(l.skipped, policy.Outcome{ID: a.ID, Server: a.Server, Attempt: n, Code: policy.NotSent})
 }
 
 func (l *loop) refuse(r *request, wait time.Duration, why string) {
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -123,20 +123,20 @@
 		served.Wait() // all that are allowed reach the server before one is answered
 		w.WriteHeader(http.StatusInternalServerError)
 	})
-	moot := make(chan policy.Outcome, 2)
+	notSent := make(chan policy.Outcome, 2)
 	l, s := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
 		switch e := ev.(type) {
 		case policy.Request:
 			return sends(e.ID, 4)
 		case policy.Outcome:
-			if e.Code == policy.Moot {
-				moot <- e
+			if e.Code == policy.NotSent {
+				notSent <- e
 			}
 		}
 		return nil
 	})
 	l.arriveNow("r1", long)
-	if o := receive(t, "the skipped attempt", moot); o.Attempt != 3 || o.Ended {
+	if o := receive(t, "the skipped attempt", notSent); o.Attempt != 3 || o.Ended {
 		t.Errorf("got %+v", o)
 	}
 	await(t, "the other outcomes", func() bool { return len(s.events()) == 6 })
@@ -164,7 +164,7 @@
 	if a := receive(t, "the answer", x.reply); a.status != http.StatusBadGateway {
 		t.Errorf("status %d, want the first answer", a.status)
 	}
-	s.has(t, "list 2", "request r1", "timer 1", fmt.Sprintf("outcome r1 1 code %d ended true", policy.Moot),
+	s.has(t, "list 2", "request r1", "timer 1", fmt.Sprintf("outcome r1 1 code %d ended true", policy.NotSent),
 		fmt.Sprintf("outcome r1 0 code %d ended true", policy.Cancelled))
 	if len(arrived) != 0 || len(x.reply) != 0 {
 		t.Errorf("%d more attempts, %d more answers", len(arrived), len(x.reply))
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -467,7 +467,7 @@
 	}
 	switch {
 	case (errors.Is(err, errNoSockets) || errors.Is(err, errTooLate)) && ctx.Err() == nil:
-		host.end(result{code: policy.Moot}) // nothing was sent, and the server is not to blame
+		host.end(result{code: policy.NotSent}) // nothing was sent, and the server is not to blame
 		return
 	case err != nil:
 		host.end(result{code: broken(ctx, err, false), opened: !errors.Is(err, errUnknown) && !errors.Is(err, errLeaving), err: err})
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -297,7 +297,7 @@
 		done <- attemptAt(t.Context(), u, "s1", testExchange(http.MethodGet, "r2", ""), time.Now().Add(long))
 	}()
 	await(t, "the eviction", func() bool { open, idle := u.counts("s0"); return open == 1 && idle == 0 })
-	if r := ended(t, u, testExchange(http.MethodGet, "r3", "")); r.code != policy.Moot {
+	if r := ended(t, u, testExchange(http.MethodGet, "r3", "")); r.code != policy.NotSent {
 		t.Errorf("code %v beyond the limit, want none that blames the server", r.code)
 	}
 	close(hold)
@@ -555,7 +555,7 @@
 			}
 			want := policy.OK
 			if lasts {
-				want = policy.Moot
+				want = policy.NotSent
 			}
 			if got := ended(t, u, testExchange(http.MethodGet, "r1", "")); got.code != want {
 				t.Errorf("%v, lasting %v: %v, want %v", code, lasts, got.code, want)
--- a/internal/wire/decode.go
+++ b/internal/wire/decode.go
@@ -147,7 +147,7 @@
 var codes = map[string]policy.Code{
 	"done": policy.OK, "err": policy.ServerError, "busy": policy.Full, "etimedout": policy.TimedOut,
 	"econnrefused": policy.ConnectFailed, "econnreset": policy.Reset,
-	"ecanceled": policy.Cancelled, "skipped": policy.Moot,
+	"ecanceled": policy.Cancelled, "skipped": policy.NotSent,
 }
 
 func (f *fields) code(i int) policy.Code {
--- a/policy/admission.go
+++ b/policy/admission.go
@@ -125,8 +125,8 @@
 		b.refuse(r, wait, "bucket")
 		return
 	}
-	if len(b.held) > 0 { // what room there is goes to those worth most; the newest of them tells nothing of it
-		b.hold(r)
+	if len(b.queued) > 0 { // what room there is goes to those worth most; the newest of them tells nothing of it
+		b.enqueue(r)
 		b.release()
 		return
 	}
--- a/policy/api.go
+++ b/policy/api.go
@@ -183,11 +183,11 @@
 	ConnectFailed
 	Reset
 	Cancelled
-	Moot
+	NotSent
 )
 
 var codeNames = [...]string{OK: "ok", ServerError: "error", Full: "full", TimedOut: "timeout",
-	ConnectFailed: "connect failed", Reset: "reset", Cancelled: "cancelled", Moot: "moot"}
+	ConnectFailed: "connect failed", Reset: "reset", Cancelled: "cancelled", NotSent: "moot"}
 
 // String is the code's name in logs.
 func (c Code) String() string {
@@ -198,7 +198,7 @@
 }
 
 // NotRun reports whether the code proves that the request never ran.
-func (c Code) NotRun() bool { return c == Full || c == ConnectFailed || c == Moot }
+func (c Code) NotRun() bool { return c == Full || c == ConnectFailed || c == NotSent }
 
 // Outcome is the end of one attempt. Ended tells that the request has its final answer.
 type Outcome struct {
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -11,14 +11,14 @@
 const (
 	comeBack    = time.Second           // told to a client whose request is given up: the bucket's shortest
 	offerPrice  = 0.15                  // of an attempt after full answers where servers shed early
-	holdPoll    = 20 * time.Millisecond // between looks at held requests
+	queuePoll   = 20 * time.Millisecond // between looks at held requests
 	tailPart    = 0.95                  // latency quantile of a class at which attempts are looked at again
 	tailStep    = 0.1                   // part by which the estimate of it moves
 	tailMargin  = 1.2                   // times that quantile, an attempt counts as slow and may be hedged
 	latencyGain = 0.2                   // weight of one answer in the mean latency of a server
 	doneSpan    = 3 * time.Second       // memory of the rate of answers: holds a few at a quiet node
 
-	holdToken, listToken, watchToken = 1, 2, 8 // of timers; the classes' count on from the last
+	queueToken, listToken, watchToken = 1, 2, 8 // of timers; the classes' count on from the last
 )
 
 var defaultBudget = Budget{Least: 20, Share: 0.2, Span: 10 * time.Second} // where the site states none
@@ -34,14 +34,14 @@
 	if !trial {
 		s, room = b.pick(r)
 	}
-	if !trial && !r.held { // each request tells of room once, however long it is held
+	if !trial && !r.queued { // each request tells of room once, however long it is held
 		b.follow(room)
 	}
 	switch {
 	case s != nil:
 		b.send(r, s, trial)
-	case r.ranOn == nil && b.now+holdPoll < r.giveUp:
-		b.hold(r)
+	case r.ranOn == nil && b.now+queuePoll < r.giveUp:
+		b.enqueue(r)
 	default:
 		b.giveUp(r, "no server has room")
 	}
@@ -61,8 +61,8 @@
 	return float64(len(b.extra)+1) <= b.budget.Least+b.budget.Share*float64(len(b.took))-1e-9 // of rounding
 }
 
-// charge books a further attempt of r: in part only where nothing ran and the site states no budget.
-func (b *Balancer) charge(r *request) {
+// chargeRetry books a further attempt of r: in part only where nothing ran and the site states no budget.
+func (b *Balancer) chargeRetry(r *request) {
 	b.owed++
 	if b.set.Rules.Attempts == nil && r.ranOn == nil && b.shedEarly() {
 		b.owed -= 1 - offerPrice
@@ -75,9 +75,9 @@
 
 func (b *Balancer) send(r *request, s *server, trial bool) {
 	if len(r.attempts) > 0 {
-		b.charge(r)
+		b.chargeRetry(r)
 	}
-	idle := b.freshen(s)
+	idle := b.refreshIdle(s)
 	a := Action{Kind: Send, ID: r.id, Server: s.Server, Until: r.worthTo}
 	if r.ranOn != nil && r.class.Repeat == Guarded { // the window may close while a connection comes up
 		a.By = r.ranOn.sent + r.class.Window
@@ -115,19 +115,19 @@
 	}
 }
 
-func (b *Balancer) hold(r *request) {
-	r.held = true
-	b.held = append(b.held, r)
-	if !b.holding {
-		b.holding = true
-		b.do(Action{Kind: SetTimer, Wait: holdPoll, Token: holdToken})
+func (b *Balancer) enqueue(r *request) {
+	r.queued = true
+	b.queued = append(b.queued, r)
+	if !b.queueTimer {
+		b.queueTimer = true
+		b.do(Action{Kind: SetTimer, Wait: queuePoll, Token: queueToken})
 	}
 }
 
 func (b *Balancer) onTimer(token uint64) {
 	switch {
-	case token == holdToken:
-		b.holding = false
+	case token == queueToken:
+		b.queueTimer = false
 		b.release()
 	case token == listToken:
 		b.askList()
@@ -138,8 +138,8 @@
 
 // release tries all held requests again, first those that are worth most, then the oldest.
 func (b *Balancer) release() {
-	held := b.held
-	b.held = nil
+	held := b.queued
+	b.queued = nil
 	slices.SortStableFunc(held, func(x, y *request) int { return cmp.Compare(y.class.Worth, x.class.Worth) })
 	for _, r := range held {
 		if !r.ended {
@@ -161,7 +161,7 @@
 			continue // a server that answers others has a heavy request, and a second copy would be as heavy
 		}
 		if a.idle == 0 {
-			b.strike(a.server, silenceWeight, TimedOut)
+			b.recordFailure(a.server, silenceWeight, TimedOut)
 		}
 		if !w.req.ended && !w.req.stream && w.req.pending == 1 {
 			b.hedge(w.req)
--- a/policy/connections.go
+++ b/policy/connections.go
@@ -23,11 +23,11 @@
 	s.used[s.inflight-1] = now
 }
 
-// freshen tells for how long the connection of the next send to s was idle, in octaves from idleLeast.
+// refreshIdle tells for how long the connection of the next send to s was idle, in octaves from idleLeast.
 // It guards against connections dropped unseen, by whatever stands between: where sends on those idle
 // for as long go unanswered far more often than others, they are closed first, and the send opens one
 // anew. Harm: handshakes, while the suspicion wears off.
-func (b *Balancer) freshen(s *server) int {
+func (b *Balancer) refreshIdle(s *server) int {
 	if s.inflight >= len(s.used) {
 		return 0
 	}
--- a/policy/golden_test.go
+++ b/policy/golden_test.go
@@ -218,7 +218,7 @@
 			well = 2
 		}
 		if g.rng.IntN(well) == 0 {
-			e.Code = []Code{ServerError, Full, ConnectFailed, Reset, TimedOut, TimedOut, Moot}[g.rng.IntN(7)]
+			e.Code = []Code{ServerError, Full, ConnectFailed, Reset, TimedOut, TimedOut, NotSent}[g.rng.IntN(7)]
 		}
 		if e.Code == TimedOut || g.now+e.Latency > until {
 			e.Code, e.Latency = TimedOut, until-g.now
@@ -319,7 +319,7 @@
 func allOf(b *Balancer) string {
 	var t strings.Builder
 	fmt.Fprintf(&t, "pace=%.2f bad=%.2f full=%.2f lost=%.2f blame=%.2f held=%d extra=%d", b.pace, b.bad,
-		b.fullPart, b.lost, b.blame, len(b.held), len(b.extra))
+		b.fullPart, b.lost, b.blame, len(b.queued), len(b.extra))
 	for _, s := range b.order() {
 		fmt.Fprintf(&t, " %s=%d/%.1f", s.Server, s.inflight, b.limit(s))
 		if s.health.out {
--- a/policy/index.go
+++ b/policy/index.go
@@ -301,7 +301,7 @@
 	case !s.in:
 	case b.crowds(s):
 		adds, one = b.holds(s), 1
-		for _, g := range s.ghosts {
+		for _, g := range s.lateResponses {
 			wake = min(wake, g.until)
 		}
 	case !s.health.out: // cold; a start far ahead of the clock must not wrap around
--- a/policy/index_test.go
+++ b/policy/index_test.go
@@ -90,10 +90,10 @@
 		if b.ramp(s) >= 1 && !s.health.out {
 			warm++
 			out += s.inflight
-			for _, g := range s.ghosts {
+			for _, g := range s.lateResponses {
 				if g.until > b.now {
 					out++
-					met["ghosts"]++
+					met["lateResponses"]++
 				}
 			}
 		}
@@ -134,7 +134,7 @@
 		}
 		g.play(200)
 	}
-	for _, what := range []string{"ejected", "ghosts", "cold", "faults"} {
+	for _, what := range []string{"ejected", "lateResponses", "cold", "faults"} {
 		if met[what] < 100 {
 			t.Errorf("%s met only %d times", what, met[what])
 		}
--- a/policy/outcomes.go
+++ b/policy/outcomes.go
@@ -24,7 +24,7 @@
 	r.pending--
 	a.server.use(b.now)
 	a.server.inflight--
-	a.server.haunt(r, a, e.Code)
+	a.server.keepLateResponse(r, a, e.Code)
 	b.recount(a.server)
 	b.report(a.server, e.Report)
 	r.settle()
@@ -33,7 +33,7 @@
 	case e.Ended || r.ended || e.Code == OK:
 		b.end(r)
 	case r.pending > 0: // a copy may yet answer
-	case e.Code == Moot || b.now >= r.deadline || r.stream ||
+	case e.Code == NotSent || b.now >= r.deadline || r.stream ||
 		r.ranOn != nil && r.class.Repeat == Never:
 		b.giveUp(r, e.Code.String())
 	default:
@@ -41,14 +41,14 @@
 	}
 }
 
-// haunt keeps an attempt that was given up in the count of what s holds. Servers take work in turn: an
+// keepLateResponse keeps an attempt that was given up in the count of what s holds. Servers take work in turn: an
 // answer shows that what was sent before it has been taken up.
-func (s *server) haunt(r *request, a *attempt, code Code) {
+func (s *server) keepLateResponse(r *request, a *attempt, code Code) {
 	switch code {
 	case TimedOut, Cancelled:
-		s.ghosts = append(s.ghosts, ghost{sent: a.sent, until: a.sent + r.class.Deadline})
+		s.lateResponses = append(s.lateResponses, lateResponse{sent: a.sent, until: a.sent + r.class.Deadline})
 	case OK:
-		s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.sent <= a.sent })
+		s.lateResponses = slices.DeleteFunc(s.lateResponses, func(g lateResponse) bool { return g.sent <= a.sent })
 	}
 }
 
@@ -70,7 +70,7 @@
 		s.health.trialOut = false
 	}
 	switch e.Code {
-	case Moot:
+	case NotSent:
 		return
 	case ConnectFailed:
 		if s.Availability != Running { // the node called it off, or the process has ended
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -38,16 +38,16 @@
 		h.score -= failWeight * b.blame * h.score
 	case code == Full && b.shedEarly():
 	case code == Full:
-		b.strike(s, fullWeight, code)
+		b.recordFailure(s, fullWeight, code)
 	case code.fault():
-		b.strike(s, failWeight*b.blame, code)
+		b.recordFailure(s, failWeight*b.blame, code)
 	case s.lastDone < a.sent: // a server that answers others isn't hung
-		b.strike(s, failWeight, code)
+		b.recordFailure(s, failWeight, code)
 	}
 }
 
-// strike counts a failure, or a silence, against a server.
-func (b *Balancer) strike(s *server, weight float64, code Code) {
+// recordFailure counts a failure, or a silence, against a server.
+func (b *Balancer) recordFailure(s *server, weight float64, code Code) {
 	h := &s.health
 	h.score += weight * (1 - h.score)
 	if !h.out && h.score > failLimit && b.mayEject(s) {
--- a/policy/routing.go
+++ b/policy/routing.go
@@ -32,7 +32,7 @@
 	easeLeast         = 0.05          // part of that below which late answers make no node have less out
 	crowdLimit        = 2.0           // times its limit, the least busy is filled; more would only be late
 	slowPart          = 0.4           // part of the aim from which an answer tells of a crowd; later, queues jam
-	keyHomes          = 3             // servers that keep a key warm in each zone
+	keyCandidates     = 3             // servers that keep a key warm in each zone
 	hashPrime         = 1099511628211 // of the 64-bit FNV hash
 )
 
@@ -40,7 +40,7 @@
 // than its threshold, else the least busy; nil where none may be used. Room is also reported where
 // the least busy was never cut: what it takes is not known yet.
 func (b *Balancer) pick(r *request) (s *server, room bool) {
-	for _, s := range b.homes(r) {
+	for _, s := range b.hashCandidates(r) {
 		if s != nil && b.usable(r, s) && b.hasRoom(s) {
 			return s, true
 		}
@@ -62,24 +62,24 @@
 		if b.hasRoom(s) {
 			return s, true
 		}
-		if (least == nil || b.crowding(s) < b.crowding(least)) && !b.stalled(s) {
+		if (least == nil || b.utilization(s) < b.utilization(least)) && !b.isHung(s) {
 			least = s
 		}
 	}
-	if least != nil && b.crowding(least) > crowdLimit && !b.shedEarly() {
+	if least != nil && b.utilization(least) > crowdLimit && !b.shedEarly() {
 		return nil, !least.felt
 	}
 	return least, least != nil && !least.felt
 }
 
-// homes are the servers that all nodes of a zone try first, in turn, for a key that a server serves
+// hashCandidates are the servers that all nodes of a zone try first, in turn, for a key that a server serves
 // with less work if it met it lately: hot keys and those of a lost server stay warm. Rendezvous hashing
 // keeps them where they are as servers come and go.
-func (b *Balancer) homes(r *request) (best [keyHomes]*server) {
+func (b *Balancer) hashCandidates(r *request) (best [keyCandidates]*server) {
 	if r.key == 0 {
 		return best
 	}
-	var most [keyHomes]uint64
+	var most [keyCandidates]uint64
 	for s := range b.walkOwn(r.class.open) {
 		h := (r.key ^ s.hash) * hashPrime
 		for i := range best {
@@ -92,10 +92,10 @@
 	return best
 }
 
-// stalled tells whether s has been silent for so long that chance hardly explains it: with n requests of a
+// isHung tells whether s has been silent for so long that chance hardly explains it: with n requests of a
 // mean latency, answers come n times as often. It may be back any moment, so it isn't ejected for that;
 // but what is sent meanwhile piles up, and all of it is late.
-func (b *Balancer) stalled(s *server) bool {
+func (b *Balancer) isHung(s *server) bool {
 	gap := seconds(stallTimes * s.latency / float64(max(1, b.holds(s))))
 	return s.inflight > 0 && b.now-max(s.lastDone, s.busyFrom) > gap
 }
@@ -134,14 +134,14 @@
 // crowds tells whether s counts among the servers that this node may have its part of attempts out at.
 func (b *Balancer) crowds(s *server) bool { return b.ramp(s) >= 1 && !s.health.out }
 
-// crowding sets attempts in flight against what s was seen to take, lest one that others fill look idle.
-func (b *Balancer) crowding(s *server) float64 { return float64(b.holds(s)+1) / b.limit(s) }
+// utilization sets attempts in flight against what s was seen to take, lest one that others fill look idle.
+func (b *Balancer) utilization(s *server) float64 { return float64(b.holds(s)+1) / b.limit(s) }
 
 // holds is how many of this node's attempts s still has: those out, and those given up that it may yet
 // work on, for a time-out frees nothing there. Until it answers one sent later, they wait or run.
 func (b *Balancer) holds(s *server) int {
-	s.ghosts = slices.DeleteFunc(s.ghosts, func(g ghost) bool { return g.until <= b.now })
-	return s.inflight + len(s.ghosts)
+	s.lateResponses = slices.DeleteFunc(s.lateResponses, func(g lateResponse) bool { return g.until <= b.now })
+	return s.inflight + len(s.lateResponses)
 }
 
 // limit is the threshold of s, for a shared server scaled by the trust in all such: a node sees too
@@ -160,7 +160,7 @@
 func (b *Balancer) hasRoom(s *server) bool {
 	limit := b.limit(s)
 	if limit >= 1 {
-		return float64(b.holds(s)) < limit && !b.stalled(s)
+		return float64(b.holds(s)) < limit && !b.isHung(s)
 	}
 	return b.holds(s) == 0 && b.now-s.lastSend >= seconds(s.latency*(1/limit-1))
 }
--- a/policy/rules_test.go
+++ b/policy/rules_test.go
@@ -134,7 +134,7 @@
 	}
 	for _, id := range []string{"s01", "s04", "s07"} {
 		b.servers[id].health.score = 0.6
-		b.strike(b.servers[id], failWeight, ServerError)
+		b.recordFailure(b.servers[id], failWeight, ServerError)
 	}
 	if b.ranked[0].open.ejected != 1 {
 		t.Errorf("%d of the class's 3 servers are ejected, want 1", b.ranked[0].open.ejected)
@@ -143,8 +143,8 @@
 		b.Handle(4*ms, MemberList{Kind: ListUpdate, Members: []Member{{Server: id, Zone: "a", Kind: "k1", Availability: Draining}}})
 	}
 	acts := slices.Clone(b.Handle(5*ms, ask("x", "free")))
-	for now := 6 * ms; now < 600*ms; now += holdPoll {
-		acts = append(acts, b.Handle(now, Timer{Token: holdToken})...)
+	for now := 6 * ms; now < 600*ms; now += queuePoll {
+		acts = append(acts, b.Handle(now, Timer{Token: queueToken})...)
 	}
 	if len(of(acts, Send)) != 0 || len(of(acts, Refuse)) != 1 {
 		t.Errorf("with its servers gone: got %+v, want one refusal and no send", acts)
@@ -357,11 +357,11 @@
 	s.threshold, s.felt, s.inflight = 1, true, 3
 	b.Handle(ms, ask("x", "free"))
 	was := b.pace
-	for now := 2 * ms; now < 80*ms; now += holdPoll {
-		b.Handle(now, Timer{Token: holdToken})
+	for now := 2 * ms; now < 80*ms; now += queuePoll {
+		b.Handle(now, Timer{Token: queueToken})
 	}
-	if len(b.held) != 1 || was >= 1 || b.pace != was {
-		t.Errorf("%d held, the scale went from %v to %v", len(b.held), was, b.pace)
+	if len(b.queued) != 1 || was >= 1 || b.pace != was {
+		t.Errorf("%d held, the scale went from %v to %v", len(b.queued), was, b.pace)
 	}
 }
 
@@ -374,7 +374,7 @@
 		set.Node, set.WarmKeys = n, true
 		b := start(t, set, members(24))
 		firsts[b.order()[0].Server] = true
-		homes[b.homes(&request{class: b.ranked[0], key: hash("acct/1")})[0].Server] = true
+		homes[b.hashCandidates(&request{class: b.ranked[0], key: hash("acct/1")})[0].Server] = true
 	}
 	if len(firsts) < 5 {
 		t.Errorf("6 nodes begin at only %d servers", len(firsts))
@@ -518,7 +518,7 @@
 	set.Tenants, set.Classes[1].Worth = nil, 5
 	b := start(t, set, members(1))
 	last := ""
-	for i := 0; len(b.held) == 0; i++ {
+	for i := 0; len(b.queued) == 0; i++ {
 		last = fmt.Sprint(i)
 		b.Handle(ms, ask(last, "once"))
 	}
@@ -758,7 +758,7 @@
 		set := site(6)
 		set.Node, set.WarmKeys = n, true
 		b := start(t, set, members(24))
-		homes := b.homes(&request{class: b.ranked[0], key: hash("acct/1")})
+		homes := b.hashCandidates(&request{class: b.ranked[0], key: hash("acct/1")})
 		homes[0].health.out = true
 		r := ask("x", "free")
 		r.Key = "acct/1"
@@ -927,7 +927,7 @@
 			acts = append(acts, b.Handle(3*ms, outcome(fmt.Sprint("r", i), 0, server, OK, ms))...)
 		}
 	}
-	acts = append(acts, b.Handle(3*ms+holdPoll, Timer{Token: holdToken})...)
+	acts = append(acts, b.Handle(3*ms+queuePoll, Timer{Token: queueToken})...)
 	for _, a := range of(acts, Send) {
 		t.Errorf("%s went to %s", a.ID, a.Server)
 	}
@@ -937,7 +937,7 @@
 			break
 		}
 	}
-	if to := sentTo(t, b.Handle(40*ms, Timer{Token: holdToken})); to != list[1].Server {
+	if to := sentTo(t, b.Handle(40*ms, Timer{Token: queueToken})); to != list[1].Server {
 		t.Errorf("the held request went to %s, want %s", to, list[1].Server)
 	}
 }
@@ -980,7 +980,7 @@
 			r.ranOn = &attempt{}
 		}
 		for range 20 {
-			b.charge(r)
+			b.chargeRetry(r)
 		}
 		if got := len(b.extra); got < c.want-1 || got > c.want {
 			t.Errorf("%+v: %d attempts booked", c, got)
@@ -1070,8 +1070,8 @@
 	e := ask("x", "free")
 	e.ExpiresIn = 100 * ms // less than the class's aim
 	acts := b.Handle(ms, e)
-	for now := ms; now <= 51*ms; now += holdPoll {
-		acts = append(acts, b.Handle(now, Timer{Token: holdToken})...)
+	for now := ms; now <= 51*ms; now += queuePoll {
+		acts = append(acts, b.Handle(now, Timer{Token: queueToken})...)
 	}
 	if len(of(acts, Refuse)) != 1 {
 		t.Errorf("not refused within half of its time: %+v", acts)
@@ -1252,7 +1252,7 @@
 			b.rank(other)
 		}
 		for !s.health.out {
-			b.strike(s, failWeight, c.code)
+			b.recordFailure(s, failWeight, c.code)
 		}
 		try := func(code Code) {
 			id := fmt.Sprint(now)
@@ -1324,7 +1324,7 @@
 				b.Handle(now, outcome(a.ID, 0, a.Server, Cancelled, ms))
 			}
 			now += time.Minute
-			b.Handle(now, Timer{Token: holdToken}) // who was held is refused
+			b.Handle(now, Timer{Token: queueToken}) // who was held is refused
 			return len(out)
 		}
 		all := most()
--- a/policy/scale_test.go
+++ b/policy/scale_test.go
@@ -104,7 +104,7 @@
 	f.n++
 	s := f.b.servers[f.list[f.n*7919%len(f.list)].Server]
 	for range 5 {
-		f.b.strike(s, failWeight, ServerError)
+		f.b.recordFailure(s, failWeight, ServerError)
 	}
 	if !s.health.out {
 		panic("not ejected")
--- a/policy/state.go
+++ b/policy/state.go
@@ -14,41 +14,41 @@
 
 // Balancer is one node's decisions. It isn't safe for concurrent use. Make one with New.
 type Balancer struct {
-	set       Settings
-	now       Time
-	rng       *rand.Rand
-	out       []Action
-	classes   map[string]*class
-	tenants   map[string]Limit
-	ranked    []*class // in the order of the settings
-	other     *Limit   // for tenants without a quota; nil: no limit
-	buckets   map[bucketKey]*bucket
-	lookedAt  bucketRing
-	pace      float64 // scale of all bucket rates
-	trust     float64 // scale of the thresholds of servers that other nodes mostly use
-	ease      float64 // scale of what this node may have out where nodes are many, by late answers
-	fullPart  float64 // part of full answers among the bad ones lately
-	bad       float64 // part of bad answers lately
-	blame     float64 // part of its weight that an error or a reset has, as others have them too
-	lost      float64 // part of time-outs among all but full answers lately
-	refused   bool    // a bucket refused since the last choice
-	processes int     // of this node
-	trials    float64 // bad trials of ejected servers that may yet be made
-	servers   map[string]*server
-	reqs      map[string]*request
-	held      []*request // waiting for a usable server, oldest first
-	holding   bool       // the hold timer is set
-	budget    Budget     // of attempts beyond the first of each request
-	owed      float64    // part of an attempt not yet booked
-	took      []Time     // requests taken in the span of the budget of attempts, oldest first
-	extra     []Time     // attempts beyond a request's first in it
-	done      float64    // answers a second, as of doneAt
-	doneAt    Time
-	rates     map[string]float64      // requests a second that warm servers of each kind serve, by their reports
-	busy      float64                 // part of their cores that servers use lately, by their reports
-	restored  map[string]ServerMemory // by the process before, of servers not listed yet
-	succeeds  bool                    // a process of this node came before, and was alive at the start
-	silent    [6]float64              // part of sends unanswered, by how long the connection was idle, in octaves
+	set        Settings
+	now        Time
+	rng        *rand.Rand
+	out        []Action
+	classes    map[string]*class
+	tenants    map[string]Limit
+	ranked     []*class // in the order of the settings
+	other      *Limit   // for tenants without a quota; nil: no limit
+	buckets    map[bucketKey]*bucket
+	lookedAt   bucketRing
+	pace       float64 // scale of all bucket rates
+	trust      float64 // scale of the thresholds of servers that other nodes mostly use
+	ease       float64 // scale of what this node may have out where nodes are many, by late answers
+	fullPart   float64 // part of full answers among the bad ones lately
+	bad        float64 // part of bad answers lately
+	blame      float64 // part of its weight that an error or a reset has, as others have them too
+	lost       float64 // part of time-outs among all but full answers lately
+	refused    bool    // a bucket refused since the last choice
+	processes  int     // of this node
+	trials     float64 // bad trials of ejected servers that may yet be made
+	servers    map[string]*server
+	reqs       map[string]*request
+	queued     []*request // waiting for a usable server, oldest first
+	queueTimer bool       // the hold timer is set
+	budget     Budget     // of attempts beyond the first of each request
+	owed       float64    // part of an attempt not yet booked
+	took       []Time     // requests taken in the span of the budget of attempts, oldest first
+	extra      []Time     // attempts beyond a request's first in it
+	done       float64    // answers a second, as of doneAt
+	doneAt     Time
+	rates      map[string]float64      // requests a second that warm servers of each kind serve, by their reports
+	busy       float64                 // part of their cores that servers use lately, by their reports
+	restored   map[string]ServerMemory // by the process before, of servers not listed yet
+	succeeds   bool                    // a process of this node came before, and was alive at the start
+	silent     [6]float64              // part of sends unanswered, by how long the connection was idle, in octaves
 	index
 }
 
@@ -67,21 +67,21 @@
 type server struct {
 	Member
 	indexed
-	hash      uint64
-	inflight  int     // this node's attempts out
-	ghosts    []ghost // attempts given up that it may still work on
-	threshold float64 // packing threshold, in attempts in flight
-	own       bool    // of this node's zone, when it last came into service
-	felt      bool    // the threshold was cut at least once
-	used      []Time  // when so many connections were last in use
-	lastSend  Time
-	takes     float64 // requests a second that it takes while cold, by its last report; 0 if not known
-	lastDone  Time    // when it last answered anything
-	busyFrom  Time    // since when attempts have been out all the time
-	latency   float64 // mean latency of its answers, in seconds
-	faults    float64 // part of errors and resets among its outcomes lately
-	health    health
-	cold      coldBudget
+	hash          uint64
+	inflight      int            // this node's attempts out
+	lateResponses []lateResponse // attempts given up that it may still work on
+	threshold     float64        // packing threshold, in attempts in flight
+	own           bool           // of this node's zone, when it last came into service
+	felt          bool           // the threshold was cut at least once
+	used          []Time         // when so many connections were last in use
+	lastSend      Time
+	takes         float64 // requests a second that it takes while cold, by its last report; 0 if not known
+	lastDone      Time    // when it last answered anything
+	busyFrom      Time    // since when attempts have been out all the time
+	latency       float64 // mean latency of its answers, in seconds
+	faults        float64 // part of errors and resets among its outcomes lately
+	health        health
+	cold          coldBudget
 }
 
 // request is one client request until its answer is given and its attempts are over.
@@ -97,11 +97,11 @@
 	ranOn    *attempt // the first attempt that may have run
 	ended    bool     // the final answer is given
 	stream   bool     // the answer has begun
-	held     bool     // it waited for a server at least once
+	queued   bool     // it waited for a server at least once
 }
 
-// ghost is an attempt that was given up.
-type ghost struct{ sent, until Time }
+// lateResponse is an attempt that was given up.
+type lateResponse struct{ sent, until Time }
 
 type attempt struct {
 	server *server
@@ -173,7 +173,7 @@
 func (b *Balancer) String() string {
 	var t strings.Builder
 	fmt.Fprintf(&t, "pace=%.2f bad=%.2f full=%.2f lost=%.2f blame=%.2f held=%d extra=%d", b.pace, b.bad,
-		b.fullPart, b.lost, b.blame, len(b.held), len(b.extra))
+		b.fullPart, b.lost, b.blame, len(b.queued), len(b.extra))
 	told, idle, more, out := 0, 0, 0, 0
 	for s := range b.walk(&b.fleet) {
 		switch {
