--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"io"
 	"log/slog"
@@ -13,6 +14,7 @@
 	"syscall"
 	"time"
 
+	"cobaltward/internal/faultpoint"
 	"cobaltward/internal/syserr"
 )
 
@@ -78,15 +80,13 @@
 }
 
 // joinPatiently is join, again for a while where the folder, or the process, lacks something for a moment.
-func joinPatiently(dir string) (*handover, error) {
-	backoff := syserr.Backoff{First: folderPause, Most: folderPauseMost}
-	for late := time.Now().Add(joinWithin); ; {
-		h, err := join(dir)
-		if err == nil || !syserr.Passes(err) || time.Now().After(late) {
-			return h, err
-		}
-		time.Sleep(backoff.Next())
-	}
+func joinPatiently(dir string) (h *handover, err error) {
+	pauses := syserr.Backoff{First: folderPause, Most: folderPauseMost}
+	err = syserr.Retry(context.Background(), joinWithin, pauses, func() (err error) {
+		h, err = join(dir)
+		return err
+	})
+	return h, err
 }
 
 // flock takes a lock at once or not at all.
@@ -105,6 +105,9 @@
 // living returns the processes whose locks are held, and removes what the others left. Where it can't look at all of
 // them, it says so: nobody is dead for that.
 func living(dir string) (ids []int64, err error) {
+	if err := faultpoint.Fail(faultpoint.Folder); err != nil {
+		return nil, err
+	}
 	entries, err := os.ReadDir(dir)
 	if err != nil {
 		return nil, err
@@ -202,7 +205,9 @@
 
 func (h *handover) note() {
 	name, err := h.path(h.id, standbySuffix), error(nil)
-	if h.standby {
+	if failed := faultpoint.Fail(faultpoint.Folder); failed != nil {
+		err = failed
+	} else if h.standby {
 		err = os.WriteFile(name, nil, 0o600)
 	} else if err = os.Remove(name); errors.Is(err, os.ErrNotExist) {
 		_, err = os.Stat(h.dir) // in a folder that is there
@@ -220,6 +225,9 @@
 	if err != nil {
 		return err
 	}
+	if err := faultpoint.Fail(faultpoint.Folder); err != nil {
+		return err
+	}
 	name := h.path(h.id, stateSuffix)
 	if err := os.WriteFile(name+newSuffix, raw, 0o600); err != nil {
 		return err
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -7,8 +7,10 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strings"
 	"sync/atomic"
+	"syscall"
 	"testing"
 	"time"
 
@@ -295,7 +297,7 @@
 		done <- attemptAt(t.Context(), u, "s1", testExchange(http.MethodGet, "r2", ""), time.Now().Add(long))
 	}()
 	await(t, "the eviction", func() bool { open, idle := u.counts("s0"); return open == 1 && idle == 0 })
-	if r := ended(t, u, testExchange(http.MethodGet, "r3", "")); r.code != policy.Moot {
+	if r := ended(t, u, testExchange(http.MethodGet, "r3", "")); r.code != policy.NotSent {
 		t.Errorf("code %v beyond the limit, want none that blames the server", r.code)
 	}
 	close(hold)
@@ -535,3 +537,78 @@
 		}
 	}
 }
+
+// What this machine lacks for a moment as a connection is made is not held against the server: the dial is tried again,
+// and where the lack lasts, the attempt was not made.
+func TestOwnLackIsNoServersFault(t *testing.T) {
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) {})
+	for _, code := range []syscall.Errno{syscall.ENOBUFS, syscall.ENOMEM, syscall.EAGAIN, syscall.EADDRNOTAVAIL, syscall.ENETUNREACH,
+		syscall.ECONNABORTED, syscall.ENFILE, syscall.EMFILE, syscall.EINTR} {
+		for _, lasts := range []bool{false, true} {
+			u := testUpstream(t, addr)
+			dial, failed := u.dial, 0
+			u.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
+				if failed++; lasts || failed <= 2 {
+					return nil, &net.OpError{Op: "dial", Net: "tcp", Err: os.NewSyscallError("connect", code)}
+				}
+				return dial(ctx, network, addr)
+			}
+			want := policy.OK
+			if lasts {
+				want = policy.NotSent
+			}
+			if got := ended(t, u, testExchange(http.MethodGet, "r1", "")); got.code != want {
+				t.Errorf("%v, lasting %v: %v, want %v", code, lasts, got.code, want)
+			}
+			if open, idle := u.counts("s0"); open != idle {
+				t.Errorf("%v, lasting %v: %d connections open, %d idle", code, lasts, open, idle)
+			}
+		}
+	}
+}
+
+// A server that once sent what nobody had asked for may do so again, a little later: its connections rest for longer
+// before they are used again, or the stray answer would be taken for the next request's.
+func TestConnectionsRestForLongerAtServersThatSendUnasked(t *testing.T) {
+	var accepted atomic.Int32
+	addr := rawServer(t, func(c net.Conn, in *bufio.Reader) {
+		stray := accepted.Add(1) == 1
+		for swallow(in) {
+			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			if stray {
+				_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 0\r\n\r\n")
+			}
+		}
+	})
+	u := testUpstream(t, addr)
+	request := func(id string) {
+		t.Helper()
+		if r := ended(t, u, testExchange(http.MethodGet, id, "")); r.code != policy.OK {
+			t.Fatal(r.code, r.err)
+		}
+	}
+	restedFor := func(d time.Duration) {
+		u.mu.Lock()
+		defer u.mu.Unlock()
+		for _, c := range u.pools["s0"].idle {
+			c.used = time.Now().Add(-d)
+		}
+	}
+	request("r1") // behind it comes the stray answer, at once or later
+	await(t, "the stray answer to be noticed", func() bool {
+		u.sweep(time.Now())
+		_, idle := u.counts("s0")
+		return idle == 0
+	})
+	request("r2")
+	restedFor(restLong)
+	request("r3")
+	if n := accepted.Load(); n != 3 {
+		t.Errorf("%d connections, want a third, for the second rested for %v only", n, restLong)
+	}
+	restedFor(time.Second)
+	request("r4")
+	if n := accepted.Load(); n != 3 {
+		t.Errorf("%d connections; one that has rested for long is not used again", n)
+	}
+}
