--- a/internal/node/queued_test.go
+++ b/internal/node/queued_test.go
@@ -145,3 +145,44 @@
 		t.Errorf("it counts from %v after it came", late)
 	}
 }
+
+// A request behind one with a transfer coding is answered as any other: it may have been read together with it.
+func TestRequestsBehindAChunkedOneAreAnswered(t *testing.T) {
+	addr := httpServer(t, func(w http.ResponseWriter, r *http.Request) {
+		body, _ := io.ReadAll(r.Body)
+		fmt.Fprintf(w, "%s got %s", r.Header.Get("X-Request-Id"), body)
+	})
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	chunked := func(id, body string) string {
+		return "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id + "\r\nX-Class: pay\r\nX-Deadline-Ms: 2000\r\n" +
+			"Transfer-Encoding: chunked\r\n\r\n" + body
+	}
+	text := queuedRequest("r1", "") + chunked("r2", "2;ext=1\r\nab\r\n1\r\nc\r\n0\r\n\r\n") + queuedRequest("r3", "") +
+		chunked("r4", "0\r\nX-Trailer: 1\r\n\r\n") + chunked("r5", "3\r\nxyz\r\n0\r\n\r\n") + queuedRequest("r6", "")
+	for _, pieces := range []int{1, 7} {
+		c, err := net.Dial("tcp", node)
+		if err != nil {
+			t.Fatal(err)
+		}
+		defer c.Close()
+		go func() {
+			rest := strings.ReplaceAll(text, "X-Request-Id: r", fmt.Sprintf("X-Request-Id: p%d-r", pieces))
+			for len(rest) > 0 {
+				n := min(len(rest), (len(text)+pieces-1)/pieces)
+				_, _ = io.WriteString(c, rest[:n])
+				rest = rest[n:]
+			}
+		}()
+		in := bufio.NewReader(c)
+		for i, want := range []string{"", "abc", "", "", "xyz", ""} {
+			resp, err := http.ReadResponse(in, nil)
+			if err != nil {
+				t.Fatalf("%d pieces, answer %d: %v", pieces, i+1, err)
+			}
+			body, err := io.ReadAll(resp.Body)
+			if want = fmt.Sprintf("p%d-r%d got %s", pieces, i+1, want); string(body) != want || err != nil || resp.Close {
+				t.Fatalf("%d pieces, answer %d: %d %q, %v, the connection ends %v; want %q", pieces, i+1, resp.StatusCode, body, err, resp.Close, want)
+			}
+		}
+	}
+}
