Answer the requests that stand behind a chunked one

Cause: net/http alone finds the end of a body with a transfer coding, and reads what it gets in large pieces; so heads behind it went by unseen, and the node ended the connection with the answer. Requests that had been read together with it were never answered: lost. Change: headWatch keeps what might hold the body's end from going on together with bytes from behind it (a line that begins with a zero; from there bytes go on singly, 16 KiB at most), and net/http's look for a sign of life waits until the node has heard of the end. Connections with chunked requests stay open now. It is no parser of chunks: which of them are well formed, net/http says. Ruled out: all bytes singly, which took 64 KiB past the pace of bodies under -race.

--- a/internal/node/bodies.go
+++ b/internal/node/bodies.go
@@ -31,10 +31,11 @@
 
 // upload is a request's body as it comes from a client.
 type upload struct {
-	conn  *http.ResponseController
-	body  io.Reader
-	grace time.Duration
-	left  chan struct{} // closed when the body can't come whole, by the client's doing
+	conn   *http.ResponseController
+	client *clientConn // nil where others accepted it
+	body   io.Reader
+	grace  time.Duration
+	left   chan struct{} // closed when the body can't come whole, by the client's doing
 
 	mu      sync.Mutex
 	stopped bool
@@ -50,8 +51,8 @@
 
 // newUpload reads a body whose request's head began to come a while ago: a peer that dribbles both is owed
 // an end in time.
-func newUpload(w http.ResponseWriter, body io.Reader, ago time.Duration, rate float64) *upload {
-	return &upload{conn: http.NewResponseController(w), body: body, left: make(chan struct{}), flow: flow{rate: rate},
+func newUpload(w http.ResponseWriter, client *clientConn, body io.Reader, ago time.Duration, rate float64) *upload {
+	return &upload{conn: http.NewResponseController(w), client: client, body: body, left: make(chan struct{}), flow: flow{rate: rate},
 		grace: min(bodyGrace, max(leastGrace, badPeerEnd-ago))}
 }
 
@@ -80,6 +81,7 @@
 		u.mu.Lock()
 		defer u.mu.Unlock()
 		u.ended = true
+		u.client.complete()
 		if u.stopped {
 			break
 		}
--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -163,7 +163,7 @@
 // streamed is a large request whose rest comes from a reader.
 func streamed(t *testing.T, id string, rest io.Reader, length int64) *exchange {
 	x := testExchange(http.MethodPost, id, string(large(wholeBody)))
-	x.rest, x.length = newUpload(deadlines{}, rest, 0, flowRate), length
+	x.rest, x.length = newUpload(deadlines{}, nil, rest, 0, flowRate), length
 	return x
 }
 
@@ -339,7 +339,7 @@
 	} {
 		synctest.Test(t, func(t *testing.T) {
 			began := time.Now()
-			u := newUpload(deadlines{}, &c.from, c.ago, flowRate)
+			u := newUpload(deadlines{}, nil, &c.from, c.ago, flowRate)
 			var err error
 			for p := make([]byte, 1<<20); err == nil; {
 				time.Sleep(c.pause)
@@ -359,7 +359,7 @@
 func TestLargeBodyIsPaced(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
 		began := time.Now()
-		u := newUpload(deadlines{}, &slowReader{0, 1 << 20, maxBody}, 0, flowRate/4)
+		u := newUpload(deadlines{}, nil, &slowReader{0, 1 << 20, maxBody}, 0, flowRate/4)
 		if n, err := io.Copy(io.Discard, u); n != maxBody || err != nil {
 			t.Errorf("%d bytes, %v", n, err)
 		}
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -27,6 +27,7 @@
 	watch     headWatch
 	readAhead readAheadBuffer // read, but not let through yet
 	fullSince time.Time       // what is read from now on may have come since then; zero: the socket was seen empty
+	codedRead chan struct{}   // closed once the end of a body with a transfer coding is found; nil: none is being read
 	// inFlight says that the node has a whole request. What comes behind it is read ahead and kept back, for
 	// net/http takes a byte of it for a sign of life and looks no further for the client's end.
 	inFlight bool
@@ -106,6 +107,9 @@
 	if !c.headBy.IsZero() && (t.IsZero() || t.After(c.headBy)) {
 		t = c.headBy
 	}
+	if !t.IsZero() && t.Before(time.Now()) { // whoever reads is to stop
+		c.endCodedRead()
+	}
 	return c.TCPConn.SetReadDeadline(t)
 }
 
@@ -180,6 +184,7 @@
 // Read also notes that a request begins: net/http says so only once it has the whole head. Bytes are
 // taken under the owner's mutex, so that none are in nobody's hands when it looks for quiet connections.
 func (c *clientConn) Read(p []byte) (n int, err error) {
+	c.awaitCodedEnd(p)
 	if n = c.takeReadAhead(p); n > 0 || len(p) == 0 {
 		return n, nil
 	}
@@ -206,6 +211,38 @@
 	return n, err
 }
 
+// awaitCodedEnd holds up net/http's look for a sign of its client, for a single byte, which it begins at the end of a
+// body before the node has heard of that: the byte would be taken from the next request's head.
+func (c *clientConn) awaitCodedEnd(p []byte) {
+	if len(p) != 1 {
+		return
+	}
+	c.owner.mu.Lock()
+	wait := c.codedRead
+	c.owner.mu.Unlock()
+	if wait != nil {
+		<-wait
+	}
+}
+
+// endCodedRead lets go whoever waits in awaitCodedEnd. The caller has the owner's mutex.
+func (c *clientConn) endCodedRead() {
+	if c.codedRead != nil {
+		close(c.codedRead)
+		c.codedRead = nil
+	}
+}
+
+// seesHeads tells whether heads of further requests are seen behind the one in flight.
+func (c *clientConn) seesHeads() bool {
+	if c == nil {
+		return false
+	}
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	return c.watch.body >= 0
+}
+
 // letRead lets a part of what was read through, and keeps the rest.
 func (c *clientConn) letRead(p []byte, came time.Time) int {
 	n := c.let(p, func(int) time.Time { return came })
@@ -291,11 +328,13 @@
 	return failed == nil && yes
 }
 
-// complete notes that a body whose length was not told has come whole.
+// complete notes that net/http has read a body to its end.
 func (c *clientConn) complete() {
 	if c != nil {
 		c.owner.mu.Lock()
 		c.inFlight = true
+		c.watch.endCoded()
+		c.endCodedRead()
 		c.owner.mu.Unlock()
 	}
 }
@@ -304,7 +343,8 @@
 func (c *clientConn) discard() {
 	if c != nil {
 		c.owner.mu.Lock()
-		c.inFlight, c.watch.body = false, -1
+		c.inFlight, c.watch.body = false, unseen
+		c.endCodedRead()
 		c.owner.mu.Unlock()
 	}
 }
@@ -343,7 +383,10 @@
 func (c *clientConn) expect(length int64) (began time.Time) {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	c.watch.body, c.inFlight = length, false
+	c.inFlight = false
+	if c.watch.expect(length); length < 0 && !c.gone {
+		c.codedRead = make(chan struct{})
+	}
 	if 0 < length && length <= wholeBody && c.position == nil && !c.gone { // others have a pace to keep
 		c.position = c.owner.waiting.PushBack(c)
 	}
@@ -369,6 +412,7 @@
 // forget takes the connection out of the count.
 func (c *clientConn) forget() {
 	c.removeIdle()
+	c.endCodedRead()
 	c.gone = true
 	c.owner.open--
 }
--- a/internal/node/head.go
+++ b/internal/node/head.go
@@ -6,7 +6,8 @@
 // through no more than one head at a time, so that what it saw is of the request in hand. A body's length
 // is told to it; behind one that nobody knows the end of, it sees no more requests, and none must be read.
 type headWatch struct {
-	body  int64 // bytes of a body that are still to come; below 0: no more heads are seen
+	body  int64 // bytes of a body that are still to come; or one of the two below
+	coded codedWatch
 	in    headFlaws
 	flaws headFlaws // of the last head that went through whole
 	heads int       // that did
@@ -17,6 +18,63 @@
 	field [len("transfer-encoding:")]byte // how the line begins, in small letters
 }
 
+// In place of a length, headWatch.body tells of a body whose end net/http alone can find.
+const (
+	unseen    = -1 // all goes on, and no more heads are seen
+	codedBody = -2 // net/http must have no bytes in hand from behind the body's end
+)
+
+// codedMost is how many bytes of one body with a transfer coding go on singly, which costs the processor something.
+const codedMost = 16 << 10
+
+// codedWatch sees a chunked body on its way to net/http. It knows nothing of chunks but that the last one's line begins
+// with a zero, and that behind such a line the end may be anywhere: from there bytes go on singly, and all others together.
+type codedWatch struct {
+	inLine bool // a line has begun, and not with a zero
+	zeros  bool // the line has nothing but zeros so far
+	last   bool // a line of zeros has ended: the body's end may come
+	singly int  // bytes that may still go on singly
+}
+
+// pass returns how many of the bytes may go on together.
+func (w *codedWatch) pass(p []byte) int {
+	for i, c := range p {
+		switch {
+		case w.last:
+			return max(1, i)
+		case w.inLine:
+			w.inLine = c != '\n'
+		case c == '0':
+			w.zeros = true
+			if i > 0 {
+				w.zeros = false // it is looked at again
+				return i
+			}
+			return 1
+		case w.zeros && (c == '\r' || c == '\n' || c == ';' || c == ' ' || c == '\t'):
+			w.last = true
+			return 1
+		default:
+			w.zeros, w.inLine = false, c != '\n'
+		}
+	}
+	return len(p)
+}
+
+// expect lets a body through next: of a length, or with a transfer coding where that is below 0.
+func (w *headWatch) expect(length int64) {
+	if w.body = length; length < 0 {
+		w.body, w.coded = codedBody, codedWatch{singly: codedMost}
+	}
+}
+
+// endCoded notes that net/http has found the end of a body: what comes next is a head.
+func (w *headWatch) endCoded() {
+	if w.body == codedBody {
+		w.body = 0
+	}
+}
+
 // headFlaws are what makes a head ambiguous.
 type headFlaws struct{ length, coding, bare bool }
 
@@ -34,7 +92,14 @@
 // pass returns how many of the bytes may go on now; those behind a head's or a body's end come again.
 func (w *headWatch) pass(p []byte) int {
 	switch {
+	case w.body == codedBody && w.coded.singly > 0 && len(p) > 0:
+		n := w.coded.pass(p)
+		if n == 1 {
+			w.coded.singly--
+		}
+		return n
 	case w.body < 0:
+		w.body = unseen
 		return len(p)
 	case w.body > 0:
 		n := int(min(int64(len(p)), w.body))
--- a/internal/node/queued_test.go
+++ b/internal/node/queued_test.go
@@ -14,7 +14,7 @@
 
 // queuedRequest is the head of a request that stands behind others on its connection.
 func queuedRequest(id, more string) string {
-	return "GET /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id + "\r\nX-Class: read\r\nX-Deadline-Ms: 2000\r\n" + more + "\r\n"
+	return "GET /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id + "\r\nX-Class: read\r\nX-Tenant: t\r\nX-Deadline-Ms: 2000\r\n" + more + "\r\n"
 }
 
 // A request that waits behind another has used up its client's time meanwhile: its server is told what is left.
@@ -154,7 +154,7 @@
 	})
 	node, _ := startNode(t, testConfig(t, knownList(addr)))
 	chunked := func(id, body string) string {
-		return "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id + "\r\nX-Class: pay\r\nX-Deadline-Ms: 2000\r\n" +
+		return "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: " + id + "\r\nX-Class: pay\r\nX-Tenant: t\r\nX-Deadline-Ms: 2000\r\n" +
 			"Transfer-Encoding: chunked\r\n\r\n" + body
 	}
 	text := queuedRequest("r1", "") + chunked("r2", "2;ext=1\r\nab\r\n1\r\nc\r\n0\r\n\r\n") + queuedRequest("r3", "") +
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -197,7 +197,7 @@
 // they may have been sent away meanwhile.
 func (s *server) answer(w http.ResponseWriter, r *http.Request, x *exchange, a answer) {
 	c := clientOf(r)
-	if s.life.endsConnections() && !c.keepOpen() || len(r.TransferEncoding) > 0 { // behind a coding, heads go by unseen
+	if s.life.endsConnections() && !c.keepOpen() || len(r.TransferEncoding) > 0 && !c.seesHeads() {
 		w.Header().Set("Connection", "close")
 		c.closes(closedWithReply)
 	}
@@ -418,7 +418,7 @@
 	if !began.IsZero() {
 		ago = time.Since(began)
 	}
-	up := newUpload(w, r.Body, ago, s.room.rate)
+	up := newUpload(w, x.client, r.Body, ago, s.room.rate)
 	x.body = make([]byte, hold)
 	n, err := io.ReadFull(up, x.body)
 	switch x.body = x.body[:n]; {
@@ -430,7 +430,6 @@
 	case x.length < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF) && up.failure() == nil:
 		x.claim.shrink(int64(n))
 		x.body, x.length = slices.Clone(x.body), int64(n)
-		clientOf(r).complete()
 		return nil
 	}
 	return err
