Go on after reads and writes that fail by what the system lacks

Cause: recv(2) and send(2) may fail with ENOMEM and ENOBUFS for a moment. On a client's connection that looked as if it had left, so that its request got no answer; on a server's, as if the server had broken it. Change: reads are made again after 1 ms, writes go on where they stood for 0.1 s. What is no lack ends a connection as before.

--- a/internal/faultpoint/faultpoint.go
+++ b/internal/faultpoint/faultpoint.go
@@ -12,7 +12,8 @@
 	Dial   Call = "dial"   // socket(2) or connect(2) does
 	Config Call = "config" // the configuration can't be read
 	Folder Call = "folder" // the folder of an upgrade can't be read or written
-	Read   Call = "read"   // read(2) is short, or interrupted
+	Read   Call = "read"   // read(2) is short, or fails for a moment
+	Write  Call = "write"  // write(2) fails for a moment
 )
 
 // Variable is the environment variable that such a build goes by, such as
--- a/internal/faultpoint/on.go
+++ b/internal/faultpoint/on.go
@@ -21,7 +21,8 @@
 		syscall.EHOSTUNREACH, syscall.ETIMEDOUT},
 	Config: {syscall.EMFILE, syscall.EIO, syscall.ENFILE},
 	Folder: {syscall.ENOSPC, syscall.EIO, syscall.EMFILE},
-	Read:   {syscall.EINTR},
+	Read:   {syscall.EINTR, syscall.ENOMEM, syscall.ENOBUFS},
+	Write:  {syscall.ENOBUFS, syscall.ENOMEM},
 }
 
 type step struct{ by, at time.Duration }
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -9,6 +9,7 @@
 	"time"
 
 	"cobaltward/internal/invariant"
+	"cobaltward/internal/syserr"
 )
 
 // clientConn is one connection of a client.
@@ -188,6 +189,17 @@
 	if n = c.takeReadAhead(p); n > 0 || len(p) == 0 {
 		return n, nil
 	}
+	for {
+		n, err = c.readOnce(p)
+		if !syserr.Passes(err) {
+			return n, err
+		}
+		time.Sleep(ioPause) // the system lacks something for a moment, and the client is there still
+	}
+}
+
+// readOnce waits for bytes, or for an error.
+func (c *clientConn) readOnce(p []byte) (n int, err error) {
 	failed := c.raw.Read(func(fd uintptr) bool {
 		c.owner.mu.Lock()
 		defer c.owner.mu.Unlock()
@@ -205,12 +217,15 @@
 		}
 		return err != syscall.EAGAIN
 	})
-	if err == nil {
+	if failed != nil && (err == nil || err == syscall.EAGAIN) {
 		err = failed
 	}
 	return n, err
 }
 
+// Write writes an answer, again for a while where the system lacks buffers for it.
+func (c *clientConn) Write(p []byte) (int, error) { return writePatiently(c.TCPConn, p) }
+
 // awaitCodedEnd holds up net/http's look for a sign of its client, for a single byte, which it begins at the end of a
 // body before the node has heard of that: the byte would be taken from the next request's head.
 func (c *clientConn) awaitCodedEnd(p []byte) {
@@ -292,6 +307,9 @@
 	hidden
 )
 
+// gone tells whether an error of the client's connection is its end.
+func gone(err error) bool { return err != nil && !syserr.Passes(err) }
+
 // presence asks the system, for net/http tells of a client that has closed its connection only once its reader has run.
 func (c *clientConn) presence() presence {
 	if c == nil {
@@ -303,7 +321,7 @@
 		defer c.owner.mu.Unlock()
 		switch {
 		case !c.inFlight:
-		case c.fillReadAhead(int(fd)) != nil:
+		case gone(c.fillReadAhead(int(fd))):
 			found = departed
 		case !c.fullSince.IsZero() && unreadBytes(int(fd)) >= hidingBytes:
 			found = hidden
--- a/internal/node/socket.go
+++ b/internal/node/socket.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"io"
 	"net"
 	"os"
@@ -23,9 +24,31 @@
 // longestDataAge is the most that is believed of the time since a connection's last data.
 const longestDataAge = 10 * time.Second
 
+// A read or a write that failed by what the system lacks is tried again after ioPause, a write for ioAgainFor in all.
+const (
+	ioPause    = time.Millisecond
+	ioAgainFor = 100 * time.Millisecond
+)
+
+// writePatiently writes all of p, and goes on where it stood after errors that pass.
+func writePatiently(c net.Conn, p []byte) (n int, err error) {
+	err = syserr.Retry(context.Background(), ioAgainFor, syserr.Backoff{First: ioPause, Most: ioPause}, func() error {
+		if err := faultpoint.Fail(faultpoint.Write); err != nil {
+			return err
+		}
+		m, err := c.Write(p[n:])
+		n += m
+		return err
+	})
+	return n, err
+}
+
 // readSocket takes what has come: syscall.EAGAIN stands for nothing, and io.EOF for the peer's end.
 func readSocket(fd int, p []byte) (n int, err error) {
 	for {
+		if err := faultpoint.Fail(faultpoint.Read); err != nil {
+			return 0, err
+		}
 		n, err = syscall.Read(fd, p[:faultpoint.Shorten(len(p))])
 		switch {
 		case err == syscall.EINTR:
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -580,7 +580,7 @@
 	if err := t.request(t.x).Write(out); err != nil {
 		return err
 	}
-	_, err := t.c.Write(out.Bytes())
+	_, err := writePatiently(t.c, out.Bytes())
 	return err
 }
 
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -160,7 +160,7 @@
 		faulty := false
 		if slices.Contains(kinds, SystemCalls) && rng.IntN(4) == 0 {
 			faulty = true
-			text += ",accept=0.05,dial=0.05,read=0.05,config=0.5,folder=0.3"
+			text += ",accept=0.05,dial=0.05,read=0.05,write=0.02,config=0.5,folder=0.3"
 		}
 		if slices.Contains(kinds, WallSteps) && rng.IntN(4) == 0 {
 			faulty = true
