--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -55,6 +55,7 @@
 	ruleCrash       = "crash"
 	ruleNotReady    = "not_ready"
 	ruleNotEnded    = "not_ended"
+	ruleStandby     = "standby"
 	ruleLimits      = "limits"
 )
 
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -30,6 +30,8 @@
 	nodeMemoryMB  = 64
 	nodeSockets   = 256
 	scrapeTimeout = time.Second
+	standbyNotice = 4 * time.Second // within which a node in standby says no (operators' days)
+	standbyBack   = 2 * time.Second // within which it says yes again
 )
 
 // process is one process of a node.
@@ -252,6 +254,61 @@
 	}
 }
 
+// replace has another process take the place of the current one. Processes come and go one after the other.
+func (n *node) replace(how Kind) error {
+	n.turn.Lock()
+	defer n.turn.Unlock()
+	switch p := n.process(); how {
+	case NodeUpgrade:
+		return n.upgrade()
+	case NodeKill:
+		n.kill(p)
+	default:
+		n.end(p)
+	}
+	return n.restart()
+}
+
+// standby has operators send a process's clients away and take them again, and judges what the front sees of that.
+func (n *node) standby(p *process) {
+	if n.held != nil { // a process that takes over would be in standby too, and not ready in time
+		n.turn.Lock()
+		defer n.turn.Unlock()
+		p = n.process()
+	}
+	if !p.post("/standby") {
+		return // it was told to end, or has ended
+	}
+	n.run.wait(standbyNotice)
+	stays := func() bool { return n.process() == p && !p.told.Load() && n.run.ctx.Err() == nil }
+	if statusOK("http://"+p.admin+"/status") && stays() {
+		n.run.judge.Find(ruleStandby, n.number, "ready %v after it was sent to standby", standbyNotice)
+	}
+	if !p.post("/active") {
+		return
+	}
+	for began := time.Now(); !statusOK("http://" + p.admin + "/status"); n.run.wait(readyPoll) {
+		if !stays() {
+			return
+		}
+		if time.Since(began) > standbyBack {
+			n.run.judge.Find(ruleStandby, n.number, "not ready %v after its standby ended", standbyBack)
+			return
+		}
+	}
+}
+
+// post makes an operators' call, and reports whether it was answered with a yes.
+func (p *process) post(call string) bool {
+	client := http.Client{Timeout: scrapeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Post("http://"+p.admin+call, "", nil)
+	if err != nil {
+		return false
+	}
+	resp.Body.Close()
+	return resp.StatusCode == http.StatusOK
+}
+
 // restart starts a process anew after one has ended.
 func (n *node) restart() error {
 	p, err := n.start()
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -20,6 +20,7 @@
 	NodeReload   Kind = "reload"      // discovery moves, SIGHUP up to three times in a row
 	NodePause    Kind = "pause"       // SIGSTOP for up to 0.15 s, several times
 	NodeUpgrade  Kind = "upgrade"     // a second process takes over
+	NodeStandby  Kind = "standby"     // operators send its clients away for a while
 	LogClosed    Kind = "log-closed"  // the reader of standard error goes
 	LogStalled   Kind = "log-stalled" // it stops reading
 	ServerHang   Kind = "hang"        // requests are never answered
@@ -48,7 +49,7 @@
 )
 
 // Kinds are all troubles.
-var Kinds = []Kind{NodeTerm, NodeKill, NodeReload, NodePause, NodeUpgrade, LogClosed, LogStalled, ServerHang, ServerReset,
+var Kinds = []Kind{NodeTerm, NodeKill, NodeReload, NodePause, NodeUpgrade, NodeStandby, LogClosed, LogStalled, ServerHang, ServerReset,
 	ServerForget, ServerTwice, ServerEnd, ServerPieces, ServerErrors, ServerLate, ServerDrain, ServerRemove, ServerCold,
 	RegistryDown, RegistryMute, RegistrySlow, RegistryCut, ClientsLeave, ClientsFlood, ClientsStop, ClientsSlow, ClientsIdle,
 	ClientsQueue, SystemCalls, WallSteps}
@@ -56,7 +57,7 @@
 // strikes tells what a kind's targets are numbers of.
 func (k Kind) strikes() string {
 	switch k {
-	case NodeTerm, NodeKill, NodeReload, NodePause, NodeUpgrade, LogClosed, LogStalled, ClientsFlood, ClientsStop, ClientsIdle,
+	case NodeTerm, NodeKill, NodeReload, NodePause, NodeUpgrade, NodeStandby, LogClosed, LogStalled, ClientsFlood, ClientsStop, ClientsIdle,
 		ClientsQueue:
 		return "nodes"
 	case ServerHang, ServerReset, ServerForget, ServerTwice, ServerEnd, ServerPieces, ServerErrors, ServerLate, ServerDrain,
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -298,18 +298,12 @@
 }
 
 func (r *Run) strikeNode(t Trouble, n *node) error {
-	n.turn.Lock() // processes come and go one after the other
-	defer n.turn.Unlock()
 	p := n.process()
 	switch t.Kind {
-	case NodeTerm:
-		n.end(p)
-		return n.restart()
-	case NodeKill:
-		n.kill(p)
-		return n.restart()
-	case NodeUpgrade:
-		return n.upgrade()
+	case NodeTerm, NodeKill, NodeUpgrade:
+		return n.replace(t.Kind)
+	case NodeStandby:
+		n.standby(p)
 	case NodeReload:
 		return r.reload(n, p)
 	case NodePause:
