--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -95,12 +95,26 @@
 	return set.FallMultiple * sum * f.capacity * set.FallFor.Seconds()
 }
 
+// withChance is how many requests a cold server gets at most in a window in which the settings allow it n (terms).
+func withChance(n float64) float64 {
+	if n < 30 {
+		return n + 3*math.Sqrt(n) + 3
+	}
+	return n + 2*math.Sqrt(n) + 2
+}
+
 // In each window that the settings name, all instances together send a cold server no more than N + 2 sqrt(N) + 2
-// requests, N being what the settings allow it then: however many they are and however uneven their traffic, whether
+// requests (of N under 30, N + 3 sqrt(N) + 3), N being what the settings allow it then: however many they are and however uneven their traffic, whether
 // they learn of it at once or one after another, start anew with fresh budgets, run two processes each for a while, or
 // try it out after it failed. And it is used all the same.
 func TestColdServersUnderTheWholeFleet(t *testing.T) {
-	const warm, rate = 20, 40.0 // servers beside the cold one, and requests a second that each takes
+	for _, rate := range []float64{40, 6} { // requests a second that each server takes
+		t.Run(fmt.Sprint(rate), func(t *testing.T) { testColdServers(t, rate) })
+	}
+}
+
+func testColdServers(t *testing.T, rate float64) {
+	const warm = 20 // servers beside the cold one
 	lists := func(up Time) []Member {
 		all := members(warm)
 		return append(all, Member{Server: coldName, Zone: "a", Kind: all[0].Kind, OnlineSince: up, Weight: 1})
@@ -197,8 +211,7 @@
 								for f.sends[in] <= at-set.Rules.FallFor {
 									in++
 								}
-								n := f.allowed(started, at)
-								if over := float64(i-in+1) / (n + 2*math.Sqrt(n) + 2); over > worst {
+								if over := float64(i-in+1) / withChance(f.allowed(started, at)); over > worst {
 									worst, worstAt = over, at-started
 								}
 							}
