--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -175,7 +175,7 @@
 func TestAdminExportsMetrics(t *testing.T) {
 	addr := httpServer(t, func(http.ResponseWriter, *http.Request) {})
 	node, operator := startWithAdmin(t, testConfig(t, knownList(addr)))
-	if resp, _ := do(t, clientRequest(t, node, "GET", "read", "r1", "")); resp.StatusCode != http.StatusOK {
+	if resp, _ := do(t, newRequest(t, node, "GET", "read", "r1", "")); resp.StatusCode != http.StatusOK {
 		t.Fatal(resp.Status)
 	}
 	resp, err := http.Get("http://" + operator + "/metrics")
--- a/internal/node/bodies.go
+++ b/internal/node/bodies.go
@@ -24,7 +24,7 @@
 var (
 	errTooSlow  = errors.New("the body comes too slowly")
 	errTooLarge = errors.New("the body is too large")
-	errNoRoom   = errors.New("there is no room for the body")
+	errNoMemory = errors.New("there is no room for the body")
 	errUnwanted = errors.New("nobody waits for the answer")
 	errStopped  = errors.New("the body is not wanted any more")
 )
--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -30,17 +30,17 @@
 	return p
 }
 
-// openSlots is how much room nobody has.
-func (r *room) empty(t *testing.T) bool {
+// empty tells whether nobody holds a part of the budget.
+func (b *memoryBudget) empty(t *testing.T) bool {
 	t.Helper()
 	for _, s := range []interface {
 		TryAcquire(int64) bool
 		Release(int64)
-	}{r.requests, r.answers, r.largeRequests, r.largeAnswers, r.held} {
-		if !s.TryAcquire(leastRoom) {
+	}{b.requests, b.answers, b.largeRequests, b.largeAnswers, b.held} {
+		if !s.TryAcquire(leastBudget) {
 			return false
 		}
-		s.Release(leastRoom)
+		s.Release(leastBudget)
 	}
 	return true
 }
@@ -67,7 +67,7 @@
 	for _, told := range []bool{true, false} {
 		for _, size := range []int{wholeBody - 1, wholeBody, wholeBody + 1, wholeBody + 2, 3 << 20} {
 			body := large(size)
-			req := clientRequest(t, node, "POST", "pay", fmt.Sprintf("r-%d-%v", size, told), "x")
+			req := newRequest(t, node, "POST", "pay", fmt.Sprintf("r-%d-%v", size, told), "x")
 			req.Body, req.ContentLength = io.NopCloser(bytes.NewReader(body)), int64(size)
 			if !told {
 				req.ContentLength = -1
@@ -105,7 +105,7 @@
 	for _, server := range []string{addr, chunked} {
 		attempts.Store(0)
 		node, stop := startNode(t, testConfig(t, knownList(server)))
-		resp, err := http.DefaultClient.Do(clientRequest(t, node, "GET", "read", "r1", ""))
+		resp, err := http.DefaultClient.Do(newRequest(t, node, "GET", "read", "r1", ""))
 		if err != nil {
 			t.Fatal(err)
 		}
@@ -135,7 +135,7 @@
 	u := testUpstream(t, addr)
 	until := time.Now().Add(2 * time.Second)
 	var got []byte
-	u.attempt(t.Context(), "s0", testExchange(http.MethodGet, "r1", ""), attemptHost{until: until, left: t.Context(), end: func(r result) {
+	u.attempt(t.Context(), "s0", testClientRequest(http.MethodGet, "r1", ""), attemptHost{until: until, left: t.Context(), end: func(r result) {
 		if r.code != policy.OK || r.answer.more == nil {
 			t.Errorf("code %v", r.code)
 			return
@@ -145,7 +145,7 @@
 			close(more)
 			rest, err := io.ReadAll(r.answer.more.rest)
 			got = append(r.answer.body, rest...)
-			r.answer.claim.free()
+			r.answer.reserved.release()
 			r.answer.more.end(err)
 		}()
 	}})
@@ -155,14 +155,14 @@
 	if open, idle := u.counts("s0"); open != 1 || idle != 1 {
 		t.Errorf("%d open, %d idle: the connection serves another request", open, idle)
 	}
-	if !u.room.empty(t) {
+	if !u.memory.empty(t) {
 		t.Error("room is left taken")
 	}
 }
 
 // streamed is a large request whose rest comes from a reader.
-func streamed(t *testing.T, id string, rest io.Reader, length int64) *exchange {
-	x := testExchange(http.MethodPost, id, string(large(wholeBody)))
+func streamed(t *testing.T, id string, rest io.Reader, length int64) *clientRequest {
+	x := testClientRequest(http.MethodPost, id, string(large(wholeBody)))
 	x.rest, x.length = newUpload(deadlines{}, nil, rest, 0, flowRate), length
 	return x
 }
@@ -371,34 +371,34 @@
 
 // Slow large bodies that have all their room keep no small one out, and who has none waits for it.
 func TestRoomIsSharedOut(t *testing.T) {
-	r := newRoom(1, 1)
-	var held []*claim
-	for range leastRoom / wholeBody {
-		c, err := take(t.Context(), r.largeRequests, wholeBody)
+	r := newMemoryBudget(1, 1)
+	var held []*reservation
+	for range leastBudget / wholeBody {
+		c, err := reserve(t.Context(), r.largeRequests, wholeBody)
 		if err != nil {
 			t.Fatal(err)
 		}
 		held = append(held, c)
 	}
-	small, err := take(t.Context(), r.requests, wholeBody)
+	small, err := reserve(t.Context(), r.requests, wholeBody)
 	if err != nil {
 		t.Fatal(err)
 	}
-	small.free()
-	next := make(chan *claim, 1)
+	small.release()
+	next := make(chan *reservation, 1)
 	go func() {
-		c, _ := take(t.Context(), r.largeRequests, wholeBody)
+		c, _ := reserve(t.Context(), r.largeRequests, wholeBody)
 		next <- c
 	}()
-	held[0].shrink(pieceSize)
-	held[1].shrink(pieceSize)
-	held[1].shrink(wholeBody) // it doesn't grow again
-	receive(t, "room", next).free()
+	held[0].resize(pieceSize)
+	held[1].resize(pieceSize)
+	held[1].resize(wholeBody) // it doesn't grow again
+	receive(t, "room", next).release()
 	for _, c := range held {
-		c.free()
-		c.free()
+		c.release()
+		c.release()
 	}
-	(*claim)(nil).free()
+	(*reservation)(nil).release()
 	if !r.empty(t) {
 		t.Error("room is left taken")
 	}
@@ -508,7 +508,7 @@
 	}
 }
 
-// However a connection's bytes are cut, the same heads and flaws are seen, each by itself.
+// However a connection's bytes are cut, the same heads and violations are seen, each by itself.
 func FuzzHeadWatch(f *testing.F) {
 	f.Add([]byte("GET / HTTP/1.1\r\nContent-Length: 3\r\n\r\nPOST /\nTransfer-Encoding: x\r\nContent-length:1\r\n\r\n"), uint8(3))
 	f.Add([]byte("\r\n\n\r\r\n"), uint8(1))
@@ -528,7 +528,7 @@
 					if end := strings.TrimLeft(string(head), "\r\n"); !strings.HasSuffix(end, "\n\n") && !strings.HasSuffix(end, "\n\r\n") {
 						t.Fatalf("%q is no head", head)
 					}
-					all = append(all, fmt.Sprintf("%q %+v", head, w.flaws))
+					all = append(all, fmt.Sprintf("%q %+v", head, w.violations))
 					head = nil
 				}
 			}
@@ -551,7 +551,7 @@
 		t.Fatal(err)
 	}
 	defer c.Close()
-	if err := clientRequest(t, node, "GET", "read", "r1", "").Write(c); err != nil {
+	if err := newRequest(t, node, "GET", "read", "r1", "").Write(c); err != nil {
 		t.Fatal(err)
 	}
 	_ = c.(*net.TCPConn).CloseWrite()
@@ -588,15 +588,15 @@
 			return nil
 		})
 		if !room {
-			c := tryTake(l.up.room.held, int64(roomPart*64*(1<<20)))
+			c := tryReserve(l.up.memory.held, int64(budgetPart*64*(1<<20)))
 			if c == nil {
 				t.Fatal("no room from the start")
 			}
-			defer c.free()
+			defer c.release()
 		}
 		node := httpServer(t, newServer(testConfig(t, knownList(addr)), l).ServeHTTP)
 		from, to := io.Pipe()
-		req := clientRequest(t, node, "POST", "pay", "r1", "x")
+		req := newRequest(t, node, "POST", "pay", "r1", "x")
 		req.Body, req.ContentLength = from, size
 		answered := make(chan int, 1)
 		go func() {
@@ -639,7 +639,7 @@
 	}
 	runLoop(t, l, addr)
 	node, _ := serveClients(t, l)
-	room := up.room
+	room := up.memory
 	for _, part := range []*semaphore.Weighted{room.requests, room.largeRequests, room.held} {
 		all := int64(0)
 		for part.TryAcquire(1 << 10) {
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -389,11 +389,11 @@
 	return c.came
 }
 
-// flaws are those of the head of the request in hand.
-func (c *clientConn) flaws() headFlaws {
+// violations are those of the head of the request in hand.
+func (c *clientConn) violations() headViolations {
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
-	return c.watch.flaws
+	return c.watch.violations
 }
 
 // expect lets a body of the given length through next, or all that comes where that is below 0, and
--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -110,8 +110,8 @@
 func TestWhoLeftBeforeItsBodyHadRoomIsNotServed(t *testing.T) {
 	l, module := startLoop(t, "127.0.0.1:9", func(policy.Time, policy.Event) []policy.Action { return nil })
 	node, all := serveClients(t, l)
-	room := l.up.room
-	most := max(leastRoom, int64(roomPart*float64(64<<20)))
+	room := l.up.memory
+	most := max(leastBudget, int64(budgetPart*float64(64<<20)))
 	if !room.requests.TryAcquire(most) {
 		t.Fatal("the room is not empty")
 	}
@@ -119,7 +119,7 @@
 	if err != nil {
 		t.Fatal(err)
 	}
-	if err := clientRequest(t, node, "POST", "pay", "r1", "sum").Write(c); err != nil {
+	if err := newRequest(t, node, "POST", "pay", "r1", "sum").Write(c); err != nil {
 		t.Fatal(err)
 	}
 	ours := func() (c *clientConn) { // it has a whole head, and waits for its body
@@ -234,7 +234,7 @@
 			if i%2 == 1 {
 				method, class, body = "POST", "undo", strings.Repeat("b", 2000)
 			}
-			if err := clientRequest(t, node, method, class, id, body).Write(conn); err != nil {
+			if err := newRequest(t, node, method, class, id, body).Write(conn); err != nil {
 				t.Fatal(err)
 			}
 			conns = append(conns, conn)
@@ -247,7 +247,7 @@
 			open, _ := l.up.counts("s0")
 			return all.left() == 0 && open == 0 && strings.Contains(module.String(), " s0=0/")
 		})
-		if !l.up.room.empty(t) {
+		if !l.up.memory.empty(t) {
 			t.Error("something is left in the room for bodies")
 		}
 	}
--- a/internal/node/handover_test.go
+++ b/internal/node/handover_test.go
@@ -192,7 +192,7 @@
 		t.Fatal(err)
 	}
 	defer busy.Close()
-	if err := clientRequest(t, node, "GET", "read", "slow", "").Write(busy); err != nil {
+	if err := newRequest(t, node, "GET", "read", "slow", "").Write(busy); err != nil {
 		t.Fatal(err)
 	}
 	receive(t, "the slow request", held)
@@ -212,7 +212,7 @@
 	}
 	resp.Body.Close()
 	for i := range 20 {
-		if resp, _ := do(t, clientRequest(t, node, "GET", "read", fmt.Sprint("r", i), "")); resp.StatusCode != 200 {
+		if resp, _ := do(t, newRequest(t, node, "GET", "read", fmt.Sprint("r", i), "")); resp.StatusCode != 200 {
 			t.Errorf("request %d meanwhile: %d", i, resp.StatusCode)
 		}
 	}
@@ -224,7 +224,7 @@
 	if err := receive(t, "the old process's end", old); err != nil {
 		t.Error(err)
 	}
-	if resp, _ := do(t, clientRequest(t, node, "GET", "read", "after", "")); resp.StatusCode != 200 {
+	if resp, _ := do(t, newRequest(t, node, "GET", "read", "after", "")); resp.StatusCode != 200 {
 		t.Errorf("afterwards: %d", resp.StatusCode)
 	}
 	if err := stopNew(); err != nil {
@@ -348,7 +348,7 @@
 	c := testConfig(t, knownList(addr))
 	c.Handover = filepath.Join(t.TempDir(), "none")
 	node, _ := startNode(t, c)
-	if resp, _ := do(t, clientRequest(t, node, "GET", "read", "r1", "")); resp.StatusCode != 200 {
+	if resp, _ := do(t, newRequest(t, node, "GET", "read", "r1", "")); resp.StatusCode != 200 {
 		t.Errorf("status %d", resp.StatusCode)
 	}
 }
--- a/internal/node/head.go
+++ b/internal/node/head.go
@@ -6,12 +6,12 @@
 // through no more than one head at a time, so that what it saw is of the request in hand. A body's length
 // is told to it; behind one that nobody knows the end of, it sees no more requests, and none must be read.
 type headWatch struct {
-	body  int64 // bytes of a body that are still to come; or one of the two below
-	coded codedWatch
-	in    headFlaws
-	flaws headFlaws // of the last head that went through whole
-	heads int       // that did
-	begun bool      // a line of the next one has come; net/http passes over empty lines ahead of a head
+	body       int64 // bytes of a body that are still to come; or one of the two below
+	coded      codedWatch
+	in         headViolations
+	violations headViolations // of the last head that went through whole
+	heads      int            // that did
+	begun      bool           // a line of the next one has come; net/http passes over empty lines ahead of a head
 
 	line  int // bytes of the line so far
 	cr    bool
@@ -75,11 +75,11 @@
 	}
 }
 
-// headFlaws are what makes a head ambiguous.
-type headFlaws struct{ length, coding, bare bool }
+// headViolations are what makes a head ambiguous.
+type headViolations struct{ length, coding, bare bool }
 
 // problem names the flaw of a head, if it has one.
-func (f headFlaws) problem() string {
+func (f headViolations) problem() string {
 	switch {
 	case f.bare:
 		return "a line of the head ends without a carriage return"
@@ -136,7 +136,7 @@
 		w.begun = w.begun || !empty
 		return false
 	}
-	w.flaws, w.in, w.begun = w.in, headFlaws{}, false
+	w.violations, w.in, w.begun = w.in, headViolations{}, false
 	w.heads++
 	return true
 }
--- a/internal/node/lifecycle_test.go
+++ b/internal/node/lifecycle_test.go
@@ -142,7 +142,7 @@
 		t.Fatal(err)
 	}
 	defer busy.Close()
-	if err := clientRequest(t, node, "GET", "read", "slow", "").Write(busy); err != nil {
+	if err := newRequest(t, node, "GET", "read", "slow", "").Write(busy); err != nil {
 		t.Fatal(err)
 	}
 	receive(t, "the slow request", held)
@@ -163,7 +163,7 @@
 	if n, err := idle.Read(make([]byte, 1)); n != 0 || err != io.EOF {
 		t.Errorf("the idle connection: %d, %v; want its end", n, err)
 	}
-	if resp, _ := do(t, clientRequest(t, node, "GET", "read", "late", "")); resp.StatusCode != 200 {
+	if resp, _ := do(t, newRequest(t, node, "GET", "read", "late", "")); resp.StatusCode != 200 {
 		t.Errorf("a client that still came: %d", resp.StatusCode)
 	}
 	close(hold)
@@ -183,7 +183,7 @@
 	}
 	defer busy.Close()
 	for i := range 2 {
-		if err := clientRequest(t, node, "GET", "read", fmt.Sprint("again", i), "").Write(busy); err != nil {
+		if err := newRequest(t, node, "GET", "read", fmt.Sprint("again", i), "").Write(busy); err != nil {
 			t.Fatal(err)
 		}
 		resp, err := http.ReadResponse(bufio.NewReader(busy), nil)
@@ -262,7 +262,7 @@
 	defer c.Close()
 	var all bytes.Buffer
 	for i := range count {
-		if err := clientRequest(t, node, "GET", "read", fmt.Sprint("r", i), "").Write(&all); err != nil {
+		if err := newRequest(t, node, "GET", "read", fmt.Sprint("r", i), "").Write(&all); err != nil {
 			t.Fatal(err)
 		}
 	}
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -85,7 +85,7 @@
 
 // request is kept until it is answered and all its attempts are over.
 type request struct {
-	*exchange
+	*clientRequest
 	deadline policy.Time
 	backstop *timer
 	ended    bool
@@ -129,9 +129,9 @@
 
 // The events of the loop, beside news.
 type (
-	arrival   struct{ x *exchange }
+	arrival   struct{ x *clientRequest }
 	departure struct {
-		x    *exchange
+		x    *clientRequest
 		told chan struct{} // closed when it is heeded; nil: nobody waits for that
 	}
 	uploaded struct { // the last byte of a large body was sent on
@@ -237,7 +237,7 @@
 		l.arrive(ctx, e.x)
 	case departure:
 		// Another request may bear the id by now.
-		if r := l.requests[e.x.req.ID]; r != nil && r.exchange == e.x && !r.ended {
+		if r := l.requests[e.x.req.ID]; r != nil && r.clientRequest == e.x && !r.ended {
 			l.settle(r)
 			r.leave()
 			l.trace.answered(l.clock.now(), r, answer{}, "client left")
@@ -279,7 +279,7 @@
 	}
 }
 
-func (l *loop) arrive(ctx context.Context, x *exchange) {
+func (l *loop) arrive(ctx context.Context, x *clientRequest) {
 	// The module would wait for the first of an id and never answer this one; and what came under an
 	// id before may have run, also when it is over.
 	if l.requests[x.req.ID] != nil || !l.used.add(x.req.ID, l.clock.now()) {
@@ -290,7 +290,7 @@
 		x.reply <- answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter}
 		return
 	}
-	r := &request{exchange: x}
+	r := &request{clientRequest: x}
 	r.left, r.leave = context.WithCancel(ctx)
 	r.deadline = x.came + x.clientWaits - r.margin()
 	l.requests[x.req.ID] = r
@@ -307,7 +307,9 @@
 }
 
 // margin is how long before its client stops waiting a request's time is up.
-func (x *exchange) margin() time.Duration { return min(answerMargin, x.clientWaits/answerMarginPart) }
+func (x *clientRequest) margin() time.Duration {
+	return min(answerMargin, x.clientWaits/answerMarginPart)
+}
 
 // postpone moves a request's backstop.
 func (l *loop) postpone(r *request, due policy.Time) {
@@ -525,7 +527,7 @@
 	r.attempts = append(r.attempts, attempt{server: a.Server, group: l.groupOf(a.Server), sent: now, cancel: cancel})
 	l.attempts.Go(func() {
 		defer cancel()
-		l.up.attempt(ctx, a.Server, r.exchange, attemptHost{
+		l.up.attempt(ctx, a.Server, r.clientRequest, attemptHost{
 			until:       l.clock.at(until),
 			clientWaits: l.clock.at(r.came + r.clientWaits),
 			by:          by,
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -81,8 +81,8 @@
 	return l, s
 }
 
-func (l *loop) arriveNow(id string, waits time.Duration) *exchange {
-	x := testExchange(http.MethodGet, id, "")
+func (l *loop) arriveNow(id string, waits time.Duration) *clientRequest {
+	x := testClientRequest(http.MethodGet, id, "")
 	x.came, x.clientWaits = l.clock.now(), waits
 	l.send(arrival{x})
 	return x
@@ -250,7 +250,7 @@
 		return nil
 	}}
 	for i := range 50 {
-		l.handle(t.Context(), arrival{testExchange(http.MethodGet, fmt.Sprint(i), "")})
+		l.handle(t.Context(), arrival{testClientRequest(http.MethodGet, fmt.Sprint(i), "")})
 	}
 	if len(l.requests) != 0 || len(l.timers) != 0 || l.owed != 0 {
 		t.Errorf("%d requests, %d timers, %d answers owed", len(l.requests), len(l.timers), l.owed)
--- a/internal/node/rules_test.go
+++ b/internal/node/rules_test.go
@@ -26,7 +26,7 @@
 		}
 		return nil
 	})
-	x := testExchange(http.MethodPost, "r1", "")
+	x := testClientRequest(http.MethodPost, "r1", "")
 	x.req.Class = "pay" // never to be repeated
 	x.came = l.clock.now()
 	l.send(arrival{x})
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -39,19 +39,19 @@
 	readyPath      = "/health/ready"
 )
 
-// exchange is one client request, which is not changed once the loop has it.
-type exchange struct {
+// clientRequest is one client request, which is not changed once the loop has it.
+type clientRequest struct {
 	req         policy.Request
 	method      string
 	url         *url.URL
 	host        string
 	key         string // Idempotency-Key
 	contentType string
-	body        []byte      // the whole body; of a large one its beginning
-	rest        *upload     // what comes behind that; nil: nothing
-	length      int64       // of the whole body; -1 where it isn't told
-	claim       *claim      // of the room for it
-	came        policy.Time // when its last byte had been read, or the beginning of a large body
+	body        []byte       // the whole body; of a large one its beginning
+	rest        *upload      // what comes behind that; nil: nothing
+	length      int64        // of the whole body; -1 where it isn't told
+	reserved    *reservation // of the room for it
+	came        policy.Time  // when its last byte had been read, or the beginning of a large body
 	clientWaits time.Duration
 	reply       chan answer // holds one, so the loop never waits for the client
 	client      *clientConn // that it came on; nil where others accepted it
@@ -63,13 +63,13 @@
 	body        []byte
 	contentType string
 	retryAfter  time.Duration
-	more        *download // the rest of a large body, which goes on as it comes; nil: there is none
-	claim       *claim    // of the room for the body
+	more        *download    // the rest of a large body, which goes on as it comes; nil: there is none
+	reserved    *reservation // of the room for the body
 }
 
 // drop is for an answer that nobody gets.
 func (a answer) drop() {
-	a.claim.free()
+	a.reserved.release()
 	a.more.end(errUnwanted)
 }
 
@@ -78,13 +78,13 @@
 	loop    *loop
 	classes map[string]policy.Class
 	life    lifecycle
-	room    *room
+	memory  *memoryBudget
 	pieces  sync.Pool // of *[pieceSize]byte
 	http    http.Server
 }
 
 func newServer(c Config, l *loop) *server {
-	s := &server{loop: l, classes: make(map[string]policy.Class), room: l.up.room,
+	s := &server{loop: l, classes: make(map[string]policy.Class), memory: l.up.memory,
 		pieces: sync.Pool{New: func() any { return new([pieceSize]byte) }}}
 	for _, class := range c.Settings.Classes {
 		s.classes[class.Name] = class
@@ -124,7 +124,7 @@
 		reject(w, c, http.StatusBadRequest, "want Content-Length for a body")
 		return
 	case c != nil:
-		if problem := c.flaws().problem(); problem != "" {
+		if problem := c.violations().problem(); problem != "" {
 			reject(w, c, http.StatusBadRequest, problem)
 			return
 		}
@@ -145,7 +145,7 @@
 		reject(w, c, status, problem)
 		return
 	}
-	defer x.claim.free()
+	defer x.reserved.release()
 	if x.rest == nil { // while it was read, or waited for room or for its turn
 		switch c.presence() {
 		case departed:
@@ -179,7 +179,7 @@
 }
 
 // depart tells the loop that a request's client has left, and drops an answer that came just then.
-func (s *server) depart(x *exchange) {
+func (s *server) depart(x *clientRequest) {
 	told := make(chan struct{})
 	s.loop.send(departure{x, told})
 	select {
@@ -195,7 +195,7 @@
 
 // answer gives a client its answer. Clients are told as late as can be that the connection ends with it, for
 // they may have been sent away meanwhile.
-func (s *server) answer(w http.ResponseWriter, r *http.Request, x *exchange, a answer) {
+func (s *server) answer(w http.ResponseWriter, r *http.Request, x *clientRequest, a answer) {
 	c := clientOf(r)
 	if s.life.endsConnections() && !c.keepOpen() || len(r.TransferEncoding) > 0 && !c.seesHeads() {
 		w.Header().Set("Connection", "close")
@@ -206,7 +206,7 @@
 		w.Header().Set("Connection", "close")
 		defer s.swallow(w, x)
 	}
-	defer a.claim.free()
+	defer a.reserved.release()
 	if a.more == nil {
 		write(w, a)
 		return
@@ -225,8 +225,8 @@
 // swallow takes in the rest of a large body whose request was answered before it had come, for as long as it
 // comes at a proper pace: many clients read their answer only once all is written, and a close would take it
 // from them.
-func (s *server) swallow(w http.ResponseWriter, x *exchange) {
-	x.claim.free()
+func (s *server) swallow(w http.ResponseWriter, x *clientRequest) {
+	x.reserved.release()
 	if x.rest.begun.Swap(true) { // an attempt has it
 		x.rest.stop()
 		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerFor)) // as in reject
@@ -274,7 +274,7 @@
 	if err := forward(a.body); err != nil {
 		return err
 	}
-	a.claim.shrink(pieceSize)
+	a.reserved.resize(pieceSize)
 	for {
 		n, err := a.more.rest.Read(piece[:])
 		if err := forward(piece[:n]); n > 0 && err != nil {
@@ -294,7 +294,7 @@
 	switch {
 	case errors.Is(err, errTooLarge):
 		return http.StatusRequestEntityTooLarge, err.Error()
-	case errors.Is(err, errNoRoom):
+	case errors.Is(err, errNoMemory):
 		return http.StatusServiceUnavailable, err.Error()
 	case errors.Is(err, errTooSlow) || errors.Is(err, os.ErrDeadlineExceeded):
 		return http.StatusRequestTimeout, errTooSlow.Error()
@@ -329,7 +329,7 @@
 }
 
 // read takes in a whole request, or says what is wrong with it. What it lets through reaches servers.
-func (s *server) read(w http.ResponseWriter, r *http.Request) (x *exchange, status int, problem string) {
+func (s *server) read(w http.ResponseWriter, r *http.Request) (x *clientRequest, status int, problem string) {
 	h := r.Header
 	for _, name := range []string{"X-Request-Id", "X-Class", "X-Tenant", "X-Deadline-Ms", "Idempotency-Key"} {
 		if len(h[name]) > 1 { // this node and a server might each go by another
@@ -366,16 +366,16 @@
 	if r.ContentLength > maxBody { // not a byte of it need be read
 		return nil, http.StatusRequestEntityTooLarge, errTooLarge.Error()
 	}
-	x = &exchange{method: method, length: r.ContentLength, client: clientOf(r)}
+	x = &clientRequest{method: method, length: r.ContentLength, client: clientOf(r)}
 	// No client waits longer than its class allows, whatever it says.
 	x.clientWaits = min(time.Duration(waits)*time.Millisecond, class.Deadline)
 	if err := s.take(w, r, x); err != nil {
-		x.claim.free()
+		x.reserved.release()
 		status, problem = bodyProblem(err)
 		return nil, status, problem
 	}
 	if method == http.MethodGet && len(x.body) > 0 {
-		x.claim.free()
+		x.reserved.release()
 		return nil, http.StatusBadRequest, "a GET has no body"
 	}
 	hint, _ := strconv.ParseUint(h.Get("X-Cost-Hint"), 10, 32) // a guess; none is as good as a bad one
@@ -388,7 +388,7 @@
 }
 
 // take reads a body that is small whole, and of a large one as much as is held; the rest goes on as it comes.
-func (s *server) take(w http.ResponseWriter, r *http.Request, x *exchange) (err error) {
+func (s *server) take(w http.ResponseWriter, r *http.Request, x *clientRequest) (err error) {
 	if x.length == 0 {
 		return nil
 	}
@@ -396,21 +396,21 @@
 	if c := clientOf(r); c != nil {
 		began = c.expect(x.length)
 	}
-	room, hold := s.room.requests, x.length
+	room, hold := s.memory.requests, x.length
 	switch {
 	case x.length < 0:
 		hold = wholeBody + 1 // the last byte tells whether it is large
 	case x.length > wholeBody:
-		room, hold = s.room.largeRequests, wholeBody
+		room, hold = s.memory.largeRequests, wholeBody
 		// Held whole, it takes up a server only once all of it has come, and can be sent again.
 		if x.length <= heldBody {
-			if x.claim = tryTake(s.room.held, x.length); x.claim != nil {
+			if x.reserved = tryReserve(s.memory.held, x.length); x.reserved != nil {
 				hold = x.length
 			}
 		}
 	}
-	if x.claim == nil {
-		if x.claim, err = s.waitForRoom(r, x, room, hold); err != nil {
+	if x.reserved == nil {
+		if x.reserved, err = s.waitForMemory(r, x, room, hold); err != nil {
 			return err
 		}
 	}
@@ -418,7 +418,7 @@
 	if !began.IsZero() {
 		ago = time.Since(began)
 	}
-	up := newUpload(w, x.client, r.Body, ago, s.room.rate)
+	up := newUpload(w, x.client, r.Body, ago, s.memory.rate)
 	x.body = make([]byte, hold)
 	n, err := io.ReadFull(up, x.body)
 	switch x.body = x.body[:n]; {
@@ -428,17 +428,17 @@
 	case err == nil:
 		return nil
 	case x.length < 0 && (err == io.EOF || err == io.ErrUnexpectedEOF) && up.failure() == nil:
-		x.claim.shrink(int64(n))
+		x.reserved.resize(int64(n))
 		x.body, x.length = slices.Clone(x.body), int64(n)
 		return nil
 	}
 	return err
 }
 
-// waitForRoom takes room for a body, but waits no longer than the client of one that has been written whole: it is owed
+// waitForMemory takes room for a body, but waits no longer than the client of one that has been written whole: it is owed
 // its final answer whoever holds the room. Of a larger body the rest comes only once there is room.
-func (s *server) waitForRoom(r *http.Request, x *exchange, room *semaphore.Weighted, bytes int64) (*claim, error) {
-	if claim := tryTake(room, bytes); claim != nil {
+func (s *server) waitForMemory(r *http.Request, x *clientRequest, room *semaphore.Weighted, bytes int64) (*reservation, error) {
+	if claim := tryReserve(room, bytes); claim != nil {
 		return claim, nil
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
@@ -450,16 +450,16 @@
 			select {
 			case <-look.C:
 				if x.length <= wholeBody || x.client.holdsUnread(x.length) {
-					cancel(errNoRoom)
+					cancel(errNoMemory)
 				}
 			case <-ctx.Done():
 				return
 			}
 		}
 	}()
-	claim, err := take(ctx, room, bytes)
-	if err != nil && context.Cause(ctx) == errNoRoom {
-		err = errNoRoom
+	claim, err := reserve(ctx, room, bytes)
+	if err != nil && context.Cause(ctx) == errNoMemory {
+		err = errNoMemory
 	}
 	return claim, err
 }
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -32,7 +32,7 @@
 		{"POST", "pay", "sum", "POST /api/x?q=a%20b r-pay key= sum"},
 		{"POST", "undo", "", "POST /api/x?q=a%20b r-undo key=key-r-undo "},
 	} {
-		resp, body := do(t, clientRequest(t, node, c.method, c.class, "r-"+c.class, c.body))
+		resp, body := do(t, newRequest(t, node, c.method, c.class, "r-"+c.class, c.body))
 		if resp.StatusCode != 200 || body != c.want || resp.Header.Get("Content-Type") != "application/x-test" {
 			t.Errorf("%s: %d %q, header %v", c.class, resp.StatusCode, body, resp.Header)
 		}
@@ -67,7 +67,7 @@
 		"undo, no key":   {"POST", "undo", "x", []string{"Idempotency-Key", ""}, 400},
 		"GET with body":  {"GET", "read", "x", nil, 400},
 	} {
-		resp, _ := do(t, clientRequest(t, node, c.method, c.class, "r1", c.body, c.headers...))
+		resp, _ := do(t, newRequest(t, node, c.method, c.class, "r1", c.body, c.headers...))
 		if resp.StatusCode != c.want {
 			t.Errorf("%s: %d, want %d", name, resp.StatusCode, c.want)
 		}
@@ -85,7 +85,7 @@
 	if n := reached.Load(); n != 0 {
 		t.Errorf("%d requests reached the server", n)
 	}
-	if resp, _ := do(t, clientRequest(t, node, "GET", "read", "r1", "")); resp.StatusCode != 200 {
+	if resp, _ := do(t, newRequest(t, node, "GET", "read", "r1", "")); resp.StatusCode != 200 {
 		t.Errorf("a good request with that id afterwards: %d", resp.StatusCode)
 	}
 }
@@ -95,7 +95,7 @@
 	addr := httpServer(t, func(http.ResponseWriter, *http.Request) {})
 	node, _ := startNode(t, testConfig(t, knownList(addr)))
 	for i := range 20 {
-		resp, _ := do(t, clientRequest(t, node, "GET", "read", fmt.Sprint("r", i), "", "X-Tenant", "tiny"))
+		resp, _ := do(t, newRequest(t, node, "GET", "read", fmt.Sprint("r", i), "", "X-Tenant", "tiny"))
 		if resp.StatusCode == http.StatusOK {
 			continue
 		}
@@ -117,7 +117,7 @@
 		}
 	})
 	node, _ := startNode(t, testConfig(t, knownList(addr, addr)))
-	resp, _ := do(t, clientRequest(t, node, "POST", "pay", "r1", "sum"))
+	resp, _ := do(t, newRequest(t, node, "POST", "pay", "r1", "sum"))
 	if s := resp.StatusCode; s < 400 || s == http.StatusTooManyRequests || s == http.StatusServiceUnavailable {
 		t.Errorf("status %d, want a failure that promises nothing", s)
 	}
@@ -150,7 +150,7 @@
 		t.Fatal(err)
 	}
 	// The deadline is far off, so that nothing else ends the attempt.
-	if err := clientRequest(t, node, "POST", "pay", "r1", "sum", "X-Deadline-Ms", "3600000").Write(c); err != nil {
+	if err := newRequest(t, node, "POST", "pay", "r1", "sum", "X-Deadline-Ms", "3600000").Write(c); err != nil {
 		t.Fatal(err)
 	}
 	receive(t, "the attempt", got)
@@ -175,7 +175,7 @@
 	node, _ := startNode(t, c)
 	slow := make(chan int, 1)
 	go func() {
-		resp, err := http.DefaultClient.Do(clientRequest(t, node, "GET", "read", "slow", ""))
+		resp, err := http.DefaultClient.Do(newRequest(t, node, "GET", "read", "slow", ""))
 		if err != nil {
 			slow <- 0
 			return
@@ -198,7 +198,7 @@
 		}
 		silent = append(silent, c)
 		if i%2 == 0 { // asks once, and keeps its connection
-			if err := clientRequest(t, node, "GET", "read", fmt.Sprint("once", i), "").Write(c); err != nil {
+			if err := newRequest(t, node, "GET", "read", fmt.Sprint("once", i), "").Write(c); err != nil {
 				t.Fatal(err)
 			}
 			resp, err := http.ReadResponse(bufio.NewReader(c), nil)
@@ -240,7 +240,7 @@
 			ended <- string(got)
 		}()
 	}
-	resp, _ := do(t, clientRequest(t, node, "POST", "pay", "good", "sum"))
+	resp, _ := do(t, newRequest(t, node, "POST", "pay", "good", "sum"))
 	if resp.StatusCode != http.StatusOK {
 		t.Errorf("the good client: %d", resp.StatusCode)
 	}
@@ -271,7 +271,7 @@
 		case closing:
 			s.life.close()
 		}
-		req := clientRequest(t, node, "GET", "read", fmt.Sprint("r", int(phase)), "")
+		req := newRequest(t, node, "GET", "read", fmt.Sprint("r", int(phase)), "")
 		resp, err := http.DefaultClient.Do(req)
 		if err != nil {
 			t.Fatal(err)
@@ -303,7 +303,7 @@
 	node, stop := startNode(t, testConfig(t, knownList(addr)))
 	slow := make(chan int, 1)
 	go func() {
-		resp, err := http.DefaultClient.Do(clientRequest(t, node, "GET", "read", "slow", ""))
+		resp, err := http.DefaultClient.Do(newRequest(t, node, "GET", "read", "slow", ""))
 		if err != nil {
 			slow <- 0
 			return
@@ -323,7 +323,7 @@
 		return resp.StatusCode == http.StatusServiceUnavailable
 	})
 	// There may be no other node yet: who is here is served, and keeps the connection.
-	resp, err := http.DefaultClient.Do(clientRequest(t, node, "GET", "read", "late", ""))
+	resp, err := http.DefaultClient.Do(newRequest(t, node, "GET", "read", "late", ""))
 	if err != nil {
 		t.Fatal(err)
 	}
@@ -380,7 +380,7 @@
 			t.Errorf("%.40q: answered %.60q", noise, got)
 		}
 	}
-	if resp, _ := do(t, clientRequest(t, node, "GET", "read", "r1", "")); resp.StatusCode != 200 {
+	if resp, _ := do(t, newRequest(t, node, "GET", "read", "r1", "")); resp.StatusCode != 200 {
 		t.Errorf("status %d", resp.StatusCode)
 	}
 }
--- a/internal/node/testing_test.go
+++ b/internal/node/testing_test.go
@@ -99,8 +99,8 @@
 	return s.Listener.Addr().String()
 }
 
-func testExchange(method, id string, body string) *exchange {
-	x := &exchange{req: policy.Request{ID: id, Class: "read", Tenant: "t"}, method: method,
+func testClientRequest(method, id string, body string) *clientRequest {
+	x := &clientRequest{req: policy.Request{ID: id, Class: "read", Tenant: "t"}, method: method,
 		url: &url.URL{Path: "/api", RawQuery: "q=a%20b"}, host: "origin.svc", body: []byte(body),
 		came: timeOrigin, clientWaits: long, reply: make(chan answer, 1)}
 	if method == http.MethodPost {
@@ -171,8 +171,8 @@
 	}
 }
 
-// clientRequest is one as clients send it; headers are pairs, and an empty value takes one out.
-func clientRequest(t *testing.T, addr, method, class, id, body string, headers ...string) *http.Request {
+// newRequest is one as clients send it; headers are pairs, and an empty value takes one out.
+func newRequest(t *testing.T, addr, method, class, id, body string, headers ...string) *http.Request {
 	t.Helper()
 	req, err := http.NewRequestWithContext(t.Context(), method, "http://"+addr+"/api/x?q=a%20b", strings.NewReader(body))
 	if err != nil {
--- a/internal/node/trace_test.go
+++ b/internal/node/trace_test.go
@@ -29,7 +29,7 @@
 func TestTraceTellsHowARequestEnded(t *testing.T) {
 	log := captureLog(t)
 	tr := trace{metrics: newMetrics()}
-	r := &request{exchange: testExchange(http.MethodGet, "r1", "")}
+	r := &request{clientRequest: testClientRequest(http.MethodGet, "r1", "")}
 	r.attempts = []attempt{{server: "s-a", sent: r.came + time.Millisecond, over: true, code: policy.ConnectFailed}}
 	tr.attempt(r.came+3*time.Millisecond, r, 0, result{code: policy.ConnectFailed, opened: true, err: errors.New("refused")})
 	tr.answered(r.came+4*time.Millisecond, r, answer{status: http.StatusServiceUnavailable}, "no server has room")
@@ -58,7 +58,7 @@
 func TestTraceIsBounded(t *testing.T) {
 	log := captureLog(t)
 	tr := trace{metrics: newMetrics()}
-	r := &request{exchange: testExchange(http.MethodGet, "r1", "")}
+	r := &request{clientRequest: testClientRequest(http.MethodGet, "r1", "")}
 	for i := range 3 * linesPerSecond {
 		tr.answered(time.Hour+time.Duration(i), r, answer{status: http.StatusBadGateway}, "x")
 	}
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -27,23 +27,23 @@
 	return u
 }
 
-func ended(t *testing.T, u *upstream, x *exchange) result {
+func ended(t *testing.T, u *upstream, x *clientRequest) result {
 	t.Helper()
 	return attemptAt(t.Context(), u, "s0", x, time.Now().Add(long))
 }
 
 // attemptAt makes one attempt, and takes in all of its answer; one whose rest breaks off has failed.
-func attemptAt(ctx context.Context, u *upstream, id string, x *exchange, until time.Time) (r result) {
+func attemptAt(ctx context.Context, u *upstream, id string, x *clientRequest, until time.Time) (r result) {
 	u.attempt(ctx, id, x, attemptHost{until: until, left: context.Background(), uploaded: func(time.Duration) {}, end: func(e result) {
 		if r = e; r.answer.more == nil {
-			r.answer.claim.free()
+			r.answer.reserved.release()
 			return
 		}
 		rest, err := io.ReadAll(r.answer.more.rest)
 		if r.answer.body = append(r.answer.body, rest...); err != nil {
 			r.code, r.err = policy.ServerError, err
 		}
-		r.answer.claim.free()
+		r.answer.reserved.release()
 		r.answer.more.end(err)
 	}})
 	return r
@@ -100,7 +100,7 @@
 				_, _ = io.WriteString(c2, c.answer)
 			}
 		})
-		r := ended(t, testUpstream(t, addr), testExchange(http.MethodGet, "r1", ""))
+		r := ended(t, testUpstream(t, addr), testClientRequest(http.MethodGet, "r1", ""))
 		if r.code != c.want || sent.Load() != 1 {
 			t.Errorf("%.60q: code %v after %d requests, want %v after 1", c.answer, r.code, sent.Load(), c.want)
 		}
@@ -118,7 +118,7 @@
 	addr := ln.Addr().String()
 	ln.Close()
 	u := testUpstream(t, addr)
-	if r := ended(t, u, testExchange(http.MethodGet, "r1", "")); r.code != policy.ConnectFailed {
+	if r := ended(t, u, testClientRequest(http.MethodGet, "r1", "")); r.code != policy.ConnectFailed {
 		t.Errorf("code %v", r.code)
 	}
 	if open, _ := u.counts("s0"); open != 0 {
@@ -140,11 +140,11 @@
 			}
 		})
 		u := testUpstream(t, addr)
-		if r := ended(t, u, testExchange(method, "r1", "")); r.code != policy.OK {
+		if r := ended(t, u, testClientRequest(method, "r1", "")); r.code != policy.OK {
 			t.Fatalf("%s: first code %v", method, r.code)
 		}
 		time.Sleep(2 * restFor)
-		if r := ended(t, u, testExchange(method, "r2", "")); r.code != policy.Reset {
+		if r := ended(t, u, testClientRequest(method, "r2", "")); r.code != policy.Reset {
 			t.Errorf("%s: code %v, want a reset", method, r.code)
 		}
 		if conns.Load() != 1 || requests.Load() != 2 {
@@ -172,7 +172,7 @@
 	p := u.pools["s0"]
 	u.setIdle(p, []*conn{{TCPConn: tcp.(*net.TCPConn), pool: p, used: time.Now().Add(-time.Second)}})
 	u.open = 1
-	if r := ended(t, u, testExchange(http.MethodPost, "r1", "body")); r.code != policy.ConnectFailed {
+	if r := ended(t, u, testClientRequest(http.MethodPost, "r1", "body")); r.code != policy.ConnectFailed {
 		t.Errorf("code %v, want could not connect", r.code)
 	}
 	if open, _ := u.counts("s0"); open != 0 {
@@ -194,7 +194,7 @@
 		defer cancel()
 		until := time.Now().Add(left)
 		done := make(chan result, 1)
-		go func() { done <- attemptAt(ctx, u, "s0", testExchange(http.MethodGet, "r1", ""), until) }()
+		go func() { done <- attemptAt(ctx, u, "s0", testClientRequest(http.MethodGet, "r1", ""), until) }()
 		receive(t, "the request", got)
 		if want == policy.Cancelled {
 			cancel()
@@ -219,7 +219,7 @@
 		body.Store(string(b))
 		got <- r
 	})
-	r := ended(t, testUpstream(t, addr), testExchange(http.MethodPost, "r1", "hello"))
+	r := ended(t, testUpstream(t, addr), testClientRequest(http.MethodPost, "r1", "hello"))
 	if r.code != policy.OK {
 		t.Fatalf("code %v", r.code)
 	}
@@ -243,7 +243,7 @@
 	})
 	u := testUpstream(t, addr)
 	for i := range 3 {
-		ended(t, u, testExchange(http.MethodGet, fmt.Sprint("r", i), ""))
+		ended(t, u, testClientRequest(http.MethodGet, fmt.Sprint("r", i), ""))
 		time.Sleep(2 * restFor)
 	}
 	if n := conns.Load(); n != 1 {
@@ -270,14 +270,14 @@
 		}
 	})
 	u := testUpstream(t, addr)
-	ended(t, u, testExchange(http.MethodGet, "r1", ""))
+	ended(t, u, testClientRequest(http.MethodGet, "r1", ""))
 	await(t, "the close to be noticed", func() bool {
 		u.mu.Lock()
 		defer u.mu.Unlock()
 		idle := u.pools["s0"].idle
 		return len(idle) == 0 || !isIdle(u.pools["s0"].idle[0].TCPConn)
 	})
-	if r := ended(t, u, testExchange(http.MethodGet, "r2", "")); r.code != policy.OK {
+	if r := ended(t, u, testClientRequest(http.MethodGet, "r2", "")); r.code != policy.OK {
 		t.Errorf("code %v", r.code)
 	}
 }
@@ -288,16 +288,16 @@
 	fast := httpServer(t, func(http.ResponseWriter, *http.Request) {})
 	u := testUpstream(t, fast, slow)
 	u.most = 1
-	if r := ended(t, u, testExchange(http.MethodGet, "r1", "")); r.code != policy.OK {
+	if r := ended(t, u, testClientRequest(http.MethodGet, "r1", "")); r.code != policy.OK {
 		t.Fatalf("code %v", r.code)
 	}
 	// The idle connection to the first server makes room for one to the second.
 	done := make(chan result, 1)
 	go func() {
-		done <- attemptAt(t.Context(), u, "s1", testExchange(http.MethodGet, "r2", ""), time.Now().Add(long))
+		done <- attemptAt(t.Context(), u, "s1", testClientRequest(http.MethodGet, "r2", ""), time.Now().Add(long))
 	}()
 	await(t, "the eviction", func() bool { open, idle := u.counts("s0"); return open == 1 && idle == 0 })
-	if r := ended(t, u, testExchange(http.MethodGet, "r3", "")); r.code != policy.NotSent {
+	if r := ended(t, u, testClientRequest(http.MethodGet, "r3", "")); r.code != policy.NotSent {
 		t.Errorf("code %v beyond the limit, want none that blames the server", r.code)
 	}
 	close(hold)
@@ -324,7 +324,7 @@
 		"missing":   {discovery.News{Kind: policy.ListReplace}, 0},
 	} {
 		u := testUpstream(t, addr)
-		ended(t, u, testExchange(http.MethodGet, "r1", ""))
+		ended(t, u, testClientRequest(http.MethodGet, "r1", ""))
 		u.update(c.n)
 		if open, _ := u.counts("s0"); open != c.want {
 			t.Errorf("%s: %d open, want %d", name, open, c.want)
@@ -361,7 +361,7 @@
 			}
 		})
 		u := testUpstream(t, addr)
-		if r := ended(t, u, testExchange(http.MethodGet, "r1", "")); string(r.answer.body) != "1" {
+		if r := ended(t, u, testClientRequest(http.MethodGet, "r1", "")); string(r.answer.body) != "1" {
 			t.Fatalf("first answer %q, code %v", r.answer.body, r.code)
 		}
 		close(release)
@@ -371,7 +371,7 @@
 			return !isIdle(u.pools["s0"].idle[0].TCPConn)
 		})
 		time.Sleep(2 * restFor)
-		if r := ended(t, u, testExchange(http.MethodGet, "r2", "")); string(r.answer.body) != "2" {
+		if r := ended(t, u, testClientRequest(http.MethodGet, "r2", "")); string(r.answer.body) != "2" {
 			t.Errorf("%q behind: answer %q, code %v", behind, r.answer.body, r.code)
 		}
 		if open, idle := u.counts("s0"); open != 1 || idle != 1 {
@@ -394,7 +394,7 @@
 			}
 		})
 		u := testUpstream(t, addr)
-		if r := ended(t, u, testExchange(http.MethodGet, "r1", "")); r.code != policy.ServerError {
+		if r := ended(t, u, testClientRequest(http.MethodGet, "r1", "")); r.code != policy.ServerError {
 			t.Errorf("%q: code %v", head, r.code)
 		}
 		receive(t, "the end of the connection", closed)
@@ -411,10 +411,10 @@
 	late := members(t, addr)[0]
 	late.Availability = policy.Draining
 	u.update(discovery.News{Kind: policy.ListUpdate, Members: []discovery.Member{late}}) // of the old one, and late
-	if r := ended(t, u, testExchange(http.MethodGet, "r1", "")); r.code != policy.ConnectFailed {
+	if r := ended(t, u, testClientRequest(http.MethodGet, "r1", "")); r.code != policy.ConnectFailed {
 		t.Errorf("to the old server: code %v", r.code)
 	}
-	if r := attemptAt(t.Context(), u, "s1", testExchange(http.MethodGet, "r2", ""), time.Now().Add(long)); r.code != policy.OK {
+	if r := attemptAt(t.Context(), u, "s1", testClientRequest(http.MethodGet, "r2", ""), time.Now().Add(long)); r.code != policy.OK {
 		t.Errorf("to the new server: code %v", r.code)
 	}
 }
@@ -443,7 +443,7 @@
 				return net.Dial(network, to)
 			}
 			ends := make(chan result, 1)
-			go func() { ends <- ended(t, u, testExchange(http.MethodGet, "a", "")) }()
+			go func() { ends <- ended(t, u, testClientRequest(http.MethodGet, "a", "")) }()
 			receive(t, "the dial", dials)
 			u.update(end)
 			if r := receive(t, "the attempt's end", ends); r.code != policy.ConnectFailed || r.err != errLeaving {
@@ -456,14 +456,14 @@
 	}
 	u := testUpstream(t, addr)
 	u.update(discovery.News{Kind: policy.ListUpdate, Members: []discovery.Member{phased(t, addr, policy.Draining)}})
-	if r := ended(t, u, testExchange(http.MethodGet, "b", "")); r.code != policy.ConnectFailed || r.err != errLeaving || r.opened {
+	if r := ended(t, u, testClientRequest(http.MethodGet, "b", "")); r.code != policy.ConnectFailed || r.err != errLeaving || r.opened {
 		t.Errorf("draining already: %v, %v, opened %v", r.code, r.err, r.opened)
 	}
 	if len(heard) > 0 {
 		t.Error("a request reached the server")
 	}
 	u.update(discovery.News{Kind: policy.ListUpdate, Members: []discovery.Member{phased(t, addr, policy.Running)}})
-	if r := ended(t, u, testExchange(http.MethodGet, "c", "")); r.code != policy.OK {
+	if r := ended(t, u, testClientRequest(http.MethodGet, "c", "")); r.code != policy.OK {
 		t.Errorf("up again: %v, %v", r.code, r.err)
 	}
 }
@@ -474,7 +474,7 @@
 	addr := httpServer(t, func(w http.ResponseWriter, _ *http.Request) { began <- struct{}{}; <-finish })
 	u := testUpstream(t, addr)
 	ends := make(chan result, 1)
-	go func() { ends <- ended(t, u, testExchange(http.MethodGet, "a", "")) }()
+	go func() { ends <- ended(t, u, testClientRequest(http.MethodGet, "a", "")) }()
 	receive(t, "the request", began)
 	u.update(discovery.News{Kind: policy.ListUpdate, Members: []discovery.Member{phased(t, addr, policy.Draining)}})
 	close(finish)
@@ -504,7 +504,7 @@
 		})
 		u := testUpstream(t, addr)
 		ending := make(chan result, 1)
-		go func() { ending <- ended(t, u, testExchange(http.MethodGet, "r1", "")) }()
+		go func() { ending <- ended(t, u, testClientRequest(http.MethodGet, "r1", "")) }()
 		if r := receive(t, "the outcome", ending); r.code != policy.Reset && r.code != policy.ServerError {
 			t.Errorf("%.40q: code %v, want one that fails and may have run", part, r.code)
 		}
@@ -557,7 +557,7 @@
 			if lasts {
 				want = policy.NotSent
 			}
-			if got := ended(t, u, testExchange(http.MethodGet, "r1", "")); got.code != want {
+			if got := ended(t, u, testClientRequest(http.MethodGet, "r1", "")); got.code != want {
 				t.Errorf("%v, lasting %v: %v, want %v", code, lasts, got.code, want)
 			}
 			if open, idle := u.counts("s0"); open != idle {
@@ -583,7 +583,7 @@
 	u := testUpstream(t, addr)
 	request := func(id string) {
 		t.Helper()
-		if r := ended(t, u, testExchange(http.MethodGet, id, "")); r.code != policy.OK {
+		if r := ended(t, u, testClientRequest(http.MethodGet, id, "")); r.code != policy.OK {
 			t.Fatal(r.code, r.err)
 		}
 	}
