Let go a chunk's line that fills net/http's buffer but for a byte

The wait is bounded by 0.1 s now. Measured: TestEndlessChunkLinesAreLetGo; without the bound its fourth case would not end (with it, 0.1 s).

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -226,6 +226,9 @@
 // Write writes an answer, again for a while where the system lacks buffers for it.
 func (c *clientConn) Write(p []byte) (int, error) { return writePatiently(c.TCPConn, p) }
 
+// codedEndWait bounds what awaitCodedEnd waits: net/http may also want a single byte to fill its buffer.
+const codedEndWait = 100 * time.Millisecond
+
 // awaitCodedEnd holds up net/http's look for a sign of its client, for a single byte, which it begins at the end of a
 // body before the node has heard of that: the byte would be taken from the next request's head.
 func (c *clientConn) awaitCodedEnd(p []byte) {
@@ -235,8 +238,14 @@
 	c.owner.mu.Lock()
 	wait := c.codedRead
 	c.owner.mu.Unlock()
-	if wait != nil {
-		<-wait
+	if wait == nil {
+		return
+	}
+	late := time.NewTimer(codedEndWait)
+	defer late.Stop()
+	select {
+	case <-wait:
+	case <-late.C:
 	}
 }
 
--- a/internal/node/queued_test.go
+++ b/internal/node/queued_test.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"os"
 	"strconv"
 	"strings"
 	"testing"
@@ -186,3 +187,30 @@
 		}
 	}
 }
+
+// A chunk's line that fills net/http's buffer to the last byte but one ends as any that is too long: with an error or
+// a close in time.
+func TestEndlessChunkLinesAreLetGo(t *testing.T) {
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) { t.Error("it reaches a server") })
+	node, _ := startNode(t, testConfig(t, knownList(addr)))
+	for _, size := range []int{4090, 4094, 4095, 4096, 5000} {
+		for _, first := range []string{"0", "5"} {
+			c, err := net.Dial("tcp", node)
+			if err != nil {
+				t.Fatal(err)
+			}
+			defer c.Close()
+			if _, err := io.WriteString(c, "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: r"+first+strconv.Itoa(size)+
+				"\r\nX-Class: pay\r\nX-Tenant: t\r\nX-Deadline-Ms: 2000\r\nTransfer-Encoding: chunked\r\n\r\n"+first+";"+
+				strings.Repeat("x", size-2)); err != nil {
+				t.Fatal(err)
+			}
+			began := time.Now()
+			_ = c.SetReadDeadline(began.Add(long / 3))
+			got, err := io.ReadAll(c)
+			if os.IsTimeout(err) || len(got) > 0 && !strings.HasPrefix(string(got), "HTTP/1.1 4") {
+				t.Errorf("%d bytes from %q: %.40q, %v after %v", size, first, got, err, time.Since(began))
+			}
+		}
+	}
+}
