Count anew on a connection that was to end and stays

Change: mayStay lifts the mark where clients are not sent away, and a look at an empty socket resets the time.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -121,15 +121,18 @@
 	}
 }
 
-// keepOpen tells whether the connection is to stay open though clients are sent away: for what has been read of
-// further requests, and for a few that have come and were not read yet, but not for ever.
-func (c *clientConn) keepOpen() bool {
+// mayStay tells whether the connection may stay open behind an answer. Where clients are sent away it stays for what
+// has been read of further requests, and for a few that have come and were not read yet, but not for ever.
+func (c *clientConn) mayStay(sentAway bool) bool {
 	if c == nil {
-		return false
+		return !sentAway
 	}
 	c.owner.mu.Lock()
 	defer c.owner.mu.Unlock()
 	switch {
+	case !sentAway:
+		c.lastTurn = false
+		return true
 	case len(c.readAhead.bytes) > 0 || c.watch.line > 0:
 		c.lastTurn = true
 		return true
@@ -214,6 +217,8 @@
 		}
 		if n, err = readSocket(int(fd), p); n > 0 {
 			n = c.letRead(p[:n], c.arrival(int(fd)))
+		} else if err == syscall.EAGAIN {
+			c.fullSince = time.Time{}
 		}
 		return err != syscall.EAGAIN
 	})
--- a/internal/node/queued_test.go
+++ b/internal/node/queued_test.go
@@ -217,3 +217,48 @@
 		}
 	}
 }
+
+// A connection that was to end, and stays after all because the node takes clients again, counts its further requests
+// from when they come, and reads ahead as before.
+func TestConnectionThatStaysCountsAnew(t *testing.T) {
+	_, dial := testClients(t, 10)
+	theirs, ours := dial()
+	says(t, theirs, ours, queuedRequest("r1", ""))
+	ours.owner.mu.Lock()
+	ours.readAhead.append([]byte("G"), time.Now()) // of a request behind it
+	ours.owner.mu.Unlock()
+	if !ours.mayStay(true) || !ours.lastTurn {
+		t.Fatal("what was read is not waited for")
+	}
+	if ours.presence() != present {
+		t.Fatal("the client counts as gone")
+	}
+	ours.owner.mu.Lock()
+	ours.fullSince = time.Now().Add(-time.Minute) // it is long ago that anybody looked
+	ours.readAhead = readAheadBuffer{}
+	ours.markIdle()
+	ours.owner.mu.Unlock()
+	if !ours.mayStay(false) || ours.lastTurn {
+		t.Error("nothing is read ahead any more")
+	}
+	before := time.Now()
+	read := make(chan error, 1)
+	go func() {
+		_, err := ours.Read(make([]byte, 4096))
+		read <- err
+	}()
+	await(t, "a look at the socket", func() bool {
+		ours.owner.mu.Lock()
+		defer ours.owner.mu.Unlock()
+		return ours.fullSince.IsZero()
+	})
+	if _, err := io.WriteString(theirs, queuedRequest("r2", "")); err != nil {
+		t.Fatal(err)
+	}
+	if err := receive(t, "the request", read); err != nil {
+		t.Fatal(err)
+	}
+	if early := before.Sub(ours.arrived()); early > time.Second {
+		t.Errorf("the request counts from %v before it was written", early)
+	}
+}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -197,7 +197,7 @@
 // they may have been sent away meanwhile.
 func (s *server) answer(w http.ResponseWriter, r *http.Request, x *clientRequest, a answer) {
 	c := clientOf(r)
-	if s.life.endsConnections() && !c.keepOpen() || len(r.TransferEncoding) > 0 && !c.seesHeads() {
+	if !c.mayStay(s.life.endsConnections()) || len(r.TransferEncoding) > 0 && !c.seesHeads() {
 		w.Header().Set("Connection", "close")
 		c.closes(closedWithReply)
 	}
