--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -612,3 +612,28 @@
 		t.Errorf("%d connections; one that has rested for long is not used again", n)
 	}
 }
+
+// A connection on which nothing was written after all has been idle for as long as before: its server counts so.
+func TestUnwrittenConnectionStaysAsIdleAsItWas(t *testing.T) {
+	u := testUpstream(t, httpServer(t, func(http.ResponseWriter, *http.Request) {}))
+	if r := ended(t, u, testClientRequest(http.MethodGet, "r1", "")); r.code != policy.OK {
+		t.Fatal(r.code, r.err)
+	}
+	used := time.Now().Add(-u.idleFor / 2)
+	u.mu.Lock()
+	u.pools["s0"].idle[0].used = used
+	u.mu.Unlock()
+	left, leave := context.WithCancel(t.Context())
+	leave()
+	var got result
+	u.attempt(t.Context(), "s0", testClientRequest(http.MethodGet, "r2", ""), attemptHost{until: time.Now().Add(long), left: left,
+		uploaded: func(time.Duration) {}, end: func(r result) { got = r }})
+	if got.code != policy.Cancelled {
+		t.Errorf("an attempt whose client has left: %v, %v", got.code, got.err)
+	}
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if idle := u.pools["s0"].idle; len(idle) != 1 || !idle[0].used.Equal(used) || idle[0].uses != 1 {
+		t.Errorf("%d connections idle, the first used %v later, %d uses", len(idle), idle[0].used.Sub(used), idle[0].uses)
+	}
+}
