Give a connection back as idle as it was where nothing was written on it

Cause: an attempt that ended between taking a connection and its first byte (client left, server leaving, time up) released it as used, so the node counted its idle time anew while its server did not; written to after the server's limit, a request ends as a reset, which what must not run twice does not survive. Change: upstream.giveBack puts it back in its place, with its time and its uses. Found by reading.

--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -6,6 +6,7 @@
 	"context"
 	"errors"
 	"net"
+	"slices"
 	"sync"
 	"sync/atomic"
 	"syscall"
@@ -386,6 +387,27 @@
 	return true
 }
 
+// giveBack returns a connection on which not a byte was written. It has been idle since its last use, for its server
+// counts so too.
+func (u *upstream) giveBack(c *conn, id string) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	if u.pools[id] != c.pool {
+		c.Close()
+		u.count(-1)
+		return
+	}
+	if c.used.IsZero() {
+		c.used = time.Now()
+	}
+	idle := c.pool.idle
+	at := len(idle)
+	for at > 0 && idle[at-1].used.After(c.used) {
+		at--
+	}
+	u.setIdle(c.pool, slices.Insert(idle, at, c))
+}
+
 // release puts a connection back if it can serve another request, else closes it.
 func (u *upstream) release(c *conn, id string, reusable bool) {
 	u.mu.Lock()
@@ -449,7 +471,7 @@
 		u.monitor.Deny(denied)
 	}
 	if err == nil && denied != invariant.None {
-		u.release(c, id, true) // not a byte was written on it
+		u.giveBack(c, id)
 	}
 	if over != nil {
 		err = over
