--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -8,10 +8,12 @@
 	"fmt"
 	"io"
 	"log/slog"
+	"maps"
 	"os"
 	"os/exec"
 	"os/signal"
 	"path/filepath"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -161,8 +163,8 @@
 			return err
 		}
 		fmt.Fprintf(out, "seed %d: subscribe %v, hedging %v, %.1f requests a second to each node\n", seed, plan.Subscribe, plan.Hedging, plan.Rate)
-		for node, text := range plan.Faults {
-			fmt.Fprintf(out, "  node %d: %s\n", node, text)
+		for _, node := range slices.Sorted(maps.Keys(plan.Faults)) {
+			fmt.Fprintf(out, "  node %d: %s\n", node, plan.Faults[node])
 		}
 		for _, t := range plan.Troubles {
 			fmt.Fprintln(out, " ", t)
