--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -174,8 +174,13 @@
 	case errors.As(err, &timeout) && timeout.Timeout():
 		p.judge.Unanswered(r, time.Now(), "no answer came", n.died(sent))
 	case errors.Is(err, syscall.ECONNRESET) || errors.Is(err, syscall.EPIPE):
-		// A close over unread bytes resets the connection: the node has not read the request, or it was killed.
-		p.judge.Crossed()
+		// A close over unread bytes resets the connection: the node has not read the request, or it was killed. It has no
+		// reason to close a new connection so, unless it ends, sends clients away, or has too many of them.
+		if c.uses > 1 || n.turnsAway(sent) {
+			p.judge.Crossed()
+		} else {
+			p.judge.Unanswered(r, time.Now(), fmt.Sprintf("a new connection was reset (%v)", err), false)
+		}
 	case c.uses > 1 && after < crossedWithin:
 		p.judge.Crossed()
 	default:
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -43,7 +43,8 @@
 	told    atomic.Bool   // to end
 	killed  atomic.Bool
 	pump    atomic.Bool // its log is read
-	logRead io.Closer   // nil where the log is a file
+	began   time.Time
+	logRead io.Closer // nil where the log is a file
 }
 
 // node is one node over all its processes.
@@ -61,6 +62,9 @@
 
 	turn sync.Mutex // of whoever starts or ends its processes
 
+	crowded  atomic.Bool // idle clients fill its descriptors
+	sentAway atomic.Bool // it is in standby
+
 	mu       sync.Mutex
 	current  *process
 	lastKill time.Time
@@ -78,7 +82,7 @@
 			return nil, err
 		}
 	}
-	p := &process{cmd: exec.Command(n.binary), admin: admin, ended: make(chan struct{})}
+	p := &process{cmd: exec.Command(n.binary), admin: admin, ended: make(chan struct{}), began: time.Now()}
 	p.pump.Store(true)
 	p.cmd.Env = append([]string{"ROUTER_CONFIG=" + n.config, "ROUTER_OPERATOR=" + admin, "TMPDIR=" + n.dir}, n.env...)
 	p.cmd.SysProcAttr = &syscall.SysProcAttr{Setpgid: true}
@@ -227,6 +231,16 @@
 	return n.lastKill.After(since)
 }
 
+// turnsAway tells whether the node has had a reason, since a time, to close connections over requests that it has not
+// read.
+func (n *node) turnsAway(since time.Time) bool {
+	if n.died(since) || n.crowded.Load() || n.sentAway.Load() {
+		return true
+	}
+	p := n.process()
+	return p == nil || p.told.Load() || p.began.After(since.Add(-longestSpan))
+}
+
 func (n *node) signal(p *process, s syscall.Signal) { _ = p.cmd.Process.Signal(s) }
 
 // kill ends a process outright.
@@ -276,6 +290,8 @@
 		defer n.turn.Unlock()
 		p = n.process()
 	}
+	n.sentAway.Store(true)
+	defer n.sentAway.Store(false)
 	if !p.post("/standby") {
 		return // it was told to end, or has ended
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -323,7 +323,9 @@
 		}
 		all.Wait()
 	case ClientsIdle:
+		n.crowded.Store(true)
 		r.clients.fill(n, t.For)
+		n.crowded.Store(false)
 	}
 	return nil
 }
