Close connections without a request by one loop

closeIdle and closeExpired stood the same but for the time, the reason and which may go. No other change.

--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -123,38 +123,30 @@
 // closeIdle closes the connections that have been without a request for a moment. One that is new, or
 // just had its answer, may be about to bring a request.
 func (l *clients) closeIdle(now time.Time) {
-	l.mu.Lock()
-	defer l.mu.Unlock()
-	var given []*clientConn
-	for e := l.waiting.Front(); e != nil; {
-		c := e.Value.(*clientConn)
-		if now.Sub(c.since) < closeIdleAfter {
-			break // the others are quiet for less
-		}
-		if e = e.Next(); c.began.IsZero() && c.tryClose() {
-			given = append(given, c)
-		}
-	}
-	l.closeAll(closedSentAway, given...)
-	l.room.Signal()
+	l.closeWithoutRequest(now, closeIdleAfter, closedSentAway, func(*clientConn) bool { return true })
 }
 
 // closeExpired closes the connections that have been without a request for as long as a node keeps them. net/http would
 // do so without a look at what has come in that moment.
 func (l *clients) closeExpired(now time.Time) {
+	l.closeWithoutRequest(now, clientIdle, closedIdle, func(c *clientConn) bool { return c.served })
+}
+
+// closeWithoutRequest closes the connections that have been without a request for so long, of those that may go.
+func (l *clients) closeWithoutRequest(now time.Time, after time.Duration, reason string, mayGo func(*clientConn) bool) {
 	l.mu.Lock()
 	defer l.mu.Unlock()
 	var given []*clientConn
 	for e := l.waiting.Front(); e != nil; {
 		c := e.Value.(*clientConn)
-		if now.Sub(c.since) < clientIdle {
+		if now.Sub(c.since) < after {
 			break // the others are idle for less
 		}
-		if e = e.Next(); c.served && c.began.IsZero() && c.tryClose() {
+		if e = e.Next(); mayGo(c) && c.began.IsZero() && c.tryClose() {
 			given = append(given, c)
 		}
 	}
-	l.closeAll(closedIdle, given...)
+	l.closeAll(reason, given...)
 	l.room.Signal()
 }
 
