--- a/policy/state.go
+++ b/policy/state.go
@@ -144,6 +144,9 @@
 	}
 }
 
+// held is how many requests wait for a server.
+func (b *Balancer) held() int { return len(b.queued) }
+
 // since drops the times before from, which come first.
 func since(times []Time, from Time) []Time {
 	for len(times) > 0 && times[0] < from {
