Count servers as warm where the settings tell of no slow start

Cause: ramp divided by a ColdFor of 0 for a server that starts ahead of this node's clock; the part was no number, so the server was neither warm nor cold: left out of the crowd's count, and its budget no number either.

--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -17,7 +17,7 @@
 // ramp is the part of its capacity that s has at least, or 1 once it is warm.
 func (b *Balancer) ramp(s *server) float64 {
 	age := b.now - s.OnlineSince
-	if s.OnlineSince <= 0 || age >= b.set.Rules.ColdFor {
+	if s.OnlineSince <= 0 || b.set.Rules.ColdFor <= 0 || age >= b.set.Rules.ColdFor {
 		return 1
 	}
 	share := b.set.Rules.ColdShare
