Search servers and held requests by indexes, so that an event costs what it changes

The work of an event grew with servers times held requests.

Change: servers in service stand in treaps by id (ordertree.go) whose nodes know the least keys below them, so that the first with room, the first cold one with room, the first ejected one that may be tried, and the least busy are found in logarithmic time. What a server can take (status.go) is worked out when it changes or when its time comes. Parts of a pool for each zone and cell serve keyed repeats. Held requests stand in lanes (queue.go): first tries of one class are alike, so where one finds no server the others are not asked. Keys go by rendezvous hashing over a trie (keyhash.go).

Not the same: budgets of cold servers are brought up to now when their time comes, by the mean of two rates, and not at each look; homes of keys move once.

--- a/policy/admission.go
+++ b/policy/admission.go
@@ -125,7 +125,7 @@
 		b.refuse(r, wait, "bucket")
 		return
 	}
-	if len(b.queued) > 0 { // what room there is goes to those worth most; the newest of them tells nothing of it
+	if b.queue.len() > 0 { // what room there is goes to those worth most; the newest of them tells nothing of it
 		b.enqueue(r)
 		b.release()
 		return
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -1,8 +1,6 @@
 package policy
 
 import (
-	"cmp"
-	"slices"
 	"time"
 )
 
@@ -23,12 +21,26 @@
 
 var defaultBudget = Budget{Least: 20, Share: 0.2, Span: 10 * time.Second} // where the site states none
 
-// dispatch sends r to a server, or holds it while one may still turn up, or gives up.
+// dispatch sends r to a server, or has it wait where one may still turn up, or gives up.
 func (b *Balancer) dispatch(r *request) {
-	if b.spent(r) || len(r.attempts) > 0 && !b.mayRepeat() {
+	switch {
+	case b.exhausted(r):
 		b.giveUp(r, "no attempts left")
-		return
+	case b.place(r):
+	case r.ranOn == nil && b.now+queuePoll < r.giveUp:
+		b.enqueue(r)
+	default:
+		b.giveUp(r, "no server has room")
 	}
+}
+
+// exhausted tells whether r may not be sent any more, wherever there is room.
+func (b *Balancer) exhausted(r *request) bool {
+	return b.spent(r) || len(r.attempts) > 0 && !b.mayRepeat()
+}
+
+// place sends r to a server, if there is one for it.
+func (b *Balancer) place(r *request) bool {
 	s := b.trial(r)
 	trial, room := s != nil, false
 	if !trial {
@@ -37,14 +49,11 @@
 	if !trial && !r.queued { // each request tells of room once, however long it is held
 		b.follow(room)
 	}
-	switch {
-	case s != nil:
-		b.send(r, s, trial)
-	case r.ranOn == nil && b.now+queuePoll < r.giveUp:
-		b.enqueue(r)
-	default:
-		b.giveUp(r, "no server has room")
+	if s == nil {
+		return false
 	}
+	b.send(r, s, trial)
+	return true
 }
 
 // spent tells whether r has had its attempts, or its time to be worth another.
@@ -89,10 +98,10 @@
 		s.busyFrom = b.now
 	}
 	s.inflight++
-	b.recount(s)
 	s.use(b.now)
 	s.lastSend = b.now
 	s.cold.tokens--
+	b.refresh(s)
 	r.settle()
 	b.watch(r)
 }
@@ -115,15 +124,6 @@
 	}
 }
 
-func (b *Balancer) enqueue(r *request) {
-	r.queued = true
-	b.queued = append(b.queued, r)
-	if !b.queueTimer {
-		b.queueTimer = true
-		b.do(Action{Kind: SetTimer, Wait: queuePoll, Token: queueToken})
-	}
-}
-
 func (b *Balancer) onTimer(token uint64) {
 	switch {
 	case token == queueToken:
@@ -136,18 +136,6 @@
 	}
 }
 
-// release tries all held requests again, first those that are worth most, then the oldest.
-func (b *Balancer) release() {
-	held := b.queued
-	b.queued = nil
-	slices.SortStableFunc(held, func(x, y *request) int { return cmp.Compare(y.class.Worth, x.class.Worth) })
-	for _, r := range held {
-		if !r.ended {
-			b.dispatch(r)
-		}
-	}
-}
-
 // sweep looks at the attempts of a class that have been out for long: a server silent since then
 // gets a strike, and a request that may run twice gets a second copy.
 func (b *Balancer) sweep(c *class) {
@@ -202,6 +190,7 @@
 func (b *Balancer) end(r *request) {
 	if !r.ended {
 		r.ended = true
+		b.queue.drop(r)
 		b.cancel(r, -1)
 	}
 	if r.pending == 0 {
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -42,6 +42,7 @@
 // Handle takes one event and returns the actions it calls for. The next call reuses the slice.
 func (b *Balancer) Handle(now Time, ev Event) []Action {
 	b.now, b.out = max(now, b.now), b.out[:0]
+	b.advance()
 	switch e := ev.(type) {
 	case Request:
 		b.onRequest(e)
@@ -58,7 +59,7 @@
 	case MemberList:
 		b.onList(e)
 	case Processes:
-		b.processes = max(1, e.N)
+		b.setProcesses(max(1, e.N))
 	}
 	return b.out
 }
--- a/policy/index.go
+++ b/policy/index.go
@@ -5,7 +5,6 @@
 	"container/heap"
 	"fmt"
 	"iter"
-	"math"
 	"slices"
 )
 
@@ -23,6 +22,9 @@
 	crowdOut int            // attempts held by the servers that crowds tells of,
 	crowdOf  int            // and how many these are
 	wakes    serverHeap     // by the time from which a server counts otherwise, though nothing happens
+	ring     []*server      // those whose state follows from figures of other servers too, looked at in turn
+	hand     int            // whose turn is next in it
+	byCell   bool           // some class may be repeated within a cell
 	lower    serverHeap     // the lower half of the faults of servers that answered, the greatest first,
 	upper    serverHeap     // and the others, the least first
 	lists    int            // whole lists heard, and one
@@ -35,16 +37,15 @@
 
 // indexed is what the indexes keep in each server. What a whole list asks for lies together.
 type indexed struct {
-	list  int  // the last whole list that named it, or came before it; 0: none yet
-	turn  int  // place in the roll
-	gone  bool // not listed any more
-	in    bool // in service: running and listed
-	group *group
-	adds  int // its part of crowdOut,
-	one   int // and of crowdOf
-	wake  Time
-	fault float64 // faults as of its last rank
-	spots [3]int  // place in each of the heaps, from 1; 0: in none
+	list   int  // the last whole list that named it, or came before it; 0: none yet
+	turn   int  // place in the roll
+	gone   bool // not listed any more
+	in     bool // in service: running and listed
+	group  *group
+	status status  // as the indexes have it
+	fault  float64 // faults as of its last rank
+	spots  [3]int  // place in each of the heaps, from 1; 0: in none
+	ringAt int     // place in the ring, from 1; 0: not in it
 }
 
 const (
@@ -62,7 +63,7 @@
 		spot int
 		less func(s, t *server) bool
 	}{
-		{&x.wakes, inWakes, func(s, t *server) bool { return s.wake < t.wake }},
+		{&x.wakes, inWakes, func(s, t *server) bool { return s.status.wake < t.status.wake }},
 		{&x.lower, inLower, func(s, t *server) bool { return s.fault > t.fault }},
 		{&x.upper, inUpper, func(s, t *server) bool { return s.fault < t.fault }},
 	} {
@@ -71,18 +72,23 @@
 	return x
 }
 
-// pool is the servers that the classes of one binding are open to.
+// pool is the servers that the classes of one binding are open to, or those of them in one zone or cell.
 type pool struct {
 	own, others part   // of this node's zone, and of the others
 	ejected     int    // servers of it that are ejected
 	named       bool   // classes of the settings are sent to it
 	safest      Repeat // of these classes
 	class       *class // the first of them, of one that is bound
+
+	byZone, byCell bool             // what ran may be repeated within its zone, or its cell
+	zones          map[string]*pool // the parts of it for that
+	cells          map[int64]*pool
+	groups         int // of such a part: groups that lie in it
 }
 
-func newPool(visits *int) pool { return pool{own: part{visits: visits}, others: part{visits: visits}} }
+func newPool(visits *int) pool { return pool{own: newPart(visits), others: newPart(visits)} }
 
-func (p *pool) len() int { return p.own.n + p.others.n }
+func (p *pool) len() int { return p.own.serving.len() + p.others.serving.len() }
 
 // part is the part of p that s lies in.
 func (p *pool) part(s *server) *part {
@@ -113,26 +119,43 @@
 		c.open = b.bindings[key]
 	}
 	c.open.named, c.open.safest = true, max(c.open.safest, c.Repeat)
+	if c.Repeat == Guarded {
+		c.open.byZone = c.open.byZone || c.Group == GroupZone
+		c.open.byCell = c.open.byCell || c.Group == GroupCell
+		b.byCell = b.byCell || c.open.byCell
+	}
 }
 
-type groupKey struct{ kind, zone string }
+// groupKey names a group. The cell counts where classes may be repeated within one, else it is 0.
+type groupKey struct {
+	kind, zone string
+	cell       int64
+}
 
-// group is what all servers of one kind in one zone have alike.
+// group is what all servers of one kind in one zone, and one cell where that counts, have alike.
 type group struct {
 	groupKey
-	pools  []*pool // that they lie in, the fleet first
-	safest Repeat  // of the classes that they are open to: those give the trials
+	servers int     // listed ones
+	pools   []*pool // that they lie in, the fleet first
+	safest  Repeat  // of the classes that they are open to: those give the trials
 }
 
-// groupOf finds the group of s. Groups are never changed, so one that was forgotten still serves.
+// groupOf finds the group of s, and counts s in.
 func (b *Balancer) groupOf(s *server) *group {
-	key := groupKey{s.Kind, s.Zone}
-	if g := b.groups[key]; g != nil {
-		return g
+	key := groupKey{kind: s.Kind, zone: s.Zone}
+	if b.byCell {
+		key.cell = s.Cell
 	}
-	if len(b.groups) > 2*len(b.servers)+64 { // most have no servers any more
-		clear(b.groups)
+	g := b.groups[key]
+	if g == nil {
+		g = b.newGroup(key, s)
+		b.groups[key] = g
 	}
+	g.servers++
+	return g
+}
+
+func (b *Balancer) newGroup(key groupKey, s *server) *group {
 	g := &group{groupKey: key, pools: []*pool{&b.fleet}, safest: b.fleet.safest}
 	for _, among := range [][]*pool{b.byKind[s.Kind], b.anyKind} {
 		for _, p := range among {
@@ -141,23 +164,63 @@
 			}
 		}
 	}
-	b.groups[key] = g
+	for _, p := range g.pools[:len(g.pools):len(g.pools)] {
+		if p.byZone {
+			g.pools = append(g.pools, subPool(&p.zones, key.zone, b.visits))
+		}
+		if p.byCell {
+			g.pools = append(g.pools, subPool(&p.cells, key.cell, b.visits))
+		}
+	}
 	return g
 }
 
+// subPool returns the part of a pool under a key, which is made when it is first needed, for one group more.
+func subPool[K comparable](among *map[K]*pool, key K, visits *int) *pool {
+	if *among == nil {
+		*among = make(map[K]*pool)
+	}
+	p := (*among)[key]
+	if p == nil {
+		made := newPool(visits)
+		p = &made
+		(*among)[key] = p
+	}
+	p.groups++
+	return p
+}
+
+// quit counts a server out of its group, which is forgotten with its last one.
+func (b *Balancer) quit(g *group) {
+	if g.servers--; g.servers > 0 {
+		return
+	}
+	delete(b.groups, g.groupKey)
+	for _, p := range g.pools {
+		if p.byZone {
+			quitSubPool(p.zones, g.zone)
+		}
+		if p.byCell {
+			quitSubPool(p.cells, g.cell)
+		}
+	}
+}
+
+func quitSubPool[K comparable](among map[K]*pool, key K) {
+	p := among[key]
+	if p.groups--; p.groups == 0 {
+		delete(among, key)
+	}
+}
+
 // walk goes through the servers of p in packing order. All pools are walked from where the fleet is, so
 // each has the fleet's order.
 func (b *Balancer) walk(p *pool) iter.Seq[*server] {
 	return func(yield func(*server) bool) {
-		_ = p.own.walk(b.fleet.own.first, yield) && p.others.walk(b.fleet.others.first, yield)
+		_ = p.own.serving.each(b.fleet.own.first, yield) && p.others.serving.each(b.fleet.others.first, yield)
 	}
 }
 
-// walkOwn goes through those of this node's zone.
-func (b *Balancer) walkOwn(p *pool) iter.Seq[*server] {
-	return func(yield func(*server) bool) { p.own.walk(b.fleet.own.first, yield) }
-}
-
 // packed compares servers in service by the packing order.
 func (b *Balancer) packed(x, y *server) int {
 	if x.own != y.own {
@@ -236,6 +299,7 @@
 	if s.gone = true; s.list > 0 && s.list < b.lists {
 		b.left--
 	}
+	b.quit(s.group)
 	delete(b.servers, s.Server)
 }
 
@@ -244,12 +308,12 @@
 	s.in, s.own = true, s.Zone == b.set.Zone
 	b.zones[s.Zone]++
 	for _, p := range s.group.pools {
-		p.part(s).insert(s)
+		p.part(s).insert(s, b.set.WarmKeys)
 		if s.health.out {
 			p.ejected++
 		}
 	}
-	b.recount(s)
+	b.refresh(s)
 	b.rank(s)
 }
 
@@ -262,13 +326,13 @@
 	if b.zones[s.Zone]--; b.zones[s.Zone] == 0 {
 		delete(b.zones, s.Zone)
 	}
+	b.refresh(s)
 	for _, p := range s.group.pools {
-		p.part(s).remove(s)
+		p.part(s).remove(s, b.set.WarmKeys)
 		if s.health.out {
 			p.ejected--
 		}
 	}
-	b.recount(s)
 	b.rank(s)
 }
 
@@ -285,42 +349,7 @@
 		}
 	}
 	s.health.out = out
-	b.recount(s)
-}
-
-const never = Time(math.MaxInt64)
-
-// recount puts right what s adds to the crowd. It has to follow each change of what s holds, of its health
-// and of its place; what time alone changes is looked at in crowd.
-func (b *Balancer) recount(s *server) {
-	if !b.many() { // nothing asks for it
-		return
-	}
-	adds, one, wake := 0, 0, never
-	switch {
-	case !s.in:
-	case b.crowds(s):
-		adds, one = b.holds(s), 1
-		for _, g := range s.lateResponses {
-			wake = min(wake, g.until)
-		}
-	case !s.health.out: // cold; a start far ahead of the clock must not wrap around
-		if at := s.OnlineSince + b.set.Rules.ColdFor; at >= s.OnlineSince {
-			wake = at
-		}
-	}
-	b.crowdOut += adds - s.adds
-	b.crowdOf += one - s.one
-	s.adds, s.one, s.wake = adds, one, wake
-	b.wakes.set(s, wake < never)
-}
-
-// crowd is how many attempts the servers that count hold by now, and how many these servers are.
-func (b *Balancer) crowd() (out, of int) {
-	for len(b.wakes.servers) > 0 && b.wakes.servers[0].wake <= b.now {
-		b.recount(b.wakes.servers[0])
-	}
-	return b.crowdOut, b.crowdOf
+	b.refresh(s)
 }
 
 // rank puts s in its place among the faults. It has to follow each change of these, and of its place; that
@@ -375,129 +404,69 @@
 	return b.lower.servers[0]
 }
 
-// chunkMost is how many servers a change may move in a part: these lie in a few kilobytes.
-const chunkMost = 512
-
-// part is a set of servers in id order, in chunks.
+// part is a set of servers in service, in id order.
 type part struct {
-	chunks [][]*server // none is empty
-	n      int
-	first  *server // where walks begin; nil for the first of all
-	before int     // servers before that
-	visits *int
+	serving orderTree // all of them
+	cold    orderTree // those in slow start
+	ejected [Free + 1]orderTree
+	keys    keyTrie
+	first   *server // where walks begin; nil for the first of all
 }
 
-// find returns the place of the first server with that id or a greater one, which may be a chunk's end.
-func (p *part) find(id string) (c, i int) {
-	c, _ = slices.BinarySearchFunc(p.chunks, id, func(chunk []*server, id string) int {
-		*p.visits++
-		return cmp.Compare(chunk[0].Server, id)
-	})
-	if c < len(p.chunks) && p.chunks[c][0].Server == id {
-		return c, 0
-	}
-	if c = max(0, c-1); len(p.chunks) > 0 {
-		i, _ = slices.BinarySearchFunc(p.chunks[c], id, func(s *server, id string) int {
-			*p.visits++
-			return cmp.Compare(s.Server, id)
-		})
+func newPart(visits *int) part {
+	p := part{serving: orderTree{visits: visits}, cold: orderTree{visits: visits}, keys: keyTrie{visits: visits}}
+	for i := range p.ejected {
+		p.ejected[i].visits = visits
 	}
-	return c, i
+	return p
 }
 
-func (p *part) insert(s *server) {
-	c, i := p.find(s.Server)
-	if len(p.chunks) == 0 {
-		p.chunks = append(p.chunks, nil)
-	}
-	chunk := slices.Insert(p.chunks[c], i, s)
-	p.chunks[c] = chunk
-	if half := len(chunk) / 2; len(chunk) > chunkMost {
-		p.chunks = slices.Insert(p.chunks, c+1, slices.Clone(chunk[half:]))
-		p.chunks[c] = slices.Delete(chunk, half, len(chunk))
-	}
-	p.n++
-	if p.first != nil && s.Server < p.first.Server {
-		p.before++
+// insert adds a server, for which the indexes know no status yet.
+func (p *part) insert(s *server, byKey bool) {
+	p.serving.insert(s, allAbsent)
+	if byKey {
+		p.keys.insert(s)
 	}
 }
 
-func (p *part) remove(s *server) {
-	c, i := p.find(s.Server)
-	p.chunks[c] = slices.Delete(p.chunks[c], i, i+1)
-	if next := c + 1; next < len(p.chunks) && len(p.chunks[c])+len(p.chunks[next]) <= chunkMost/2 {
-		p.chunks[c] = append(p.chunks[c], p.chunks[next]...)
-		p.chunks = slices.Delete(p.chunks, next, next+1)
+// remove takes a server out, after its status.
+func (p *part) remove(s *server, byKey bool) {
+	p.serving.remove(s)
+	if byKey {
+		p.keys.remove(s)
 	}
-	if len(p.chunks[c]) == 0 {
-		p.chunks = slices.Delete(p.chunks, c, c+1)
-	}
-	p.n--
-	switch {
-	case p.first == s:
+	if p.first == s {
 		p.first = nil
-	case p.first != nil && s.Server < p.first.Server:
-		p.before--
 	}
 }
 
-// turn lets walks begin at the k-th server, counted from 0. It goes there from the last place, as one
-// change shifts it by one or two.
-func (p *part) turn(k int) {
-	if p.n == 0 {
-		p.first = nil
-		return
-	}
-	k %= p.n
-	c, i := 0, 0
-	if p.first == nil {
-		p.before = 0
-	} else {
-		c, i = p.find(p.first.Server)
-	}
-	for i += k - p.before; i < 0; i += len(p.chunks[c]) {
-		*p.visits++
-		c--
+// update follows a change of a server's status.
+func (p *part) update(s *server, was, now status) {
+	if was.keys != now.keys {
+		p.serving.set(s, now.keys)
 	}
-	for ; i >= len(p.chunks[c]); c++ {
-		*p.visits++
-		i -= len(p.chunks[c])
-	}
-	p.first, p.before = p.chunks[c][i], k
+	move(&p.cold, s, was.cold, now.cold, was.keys, now.keys)
+	move(&p.ejected[s.group.safest], s, was.out, now.out, treeKeys{readyKey: was.ready}, treeKeys{readyKey: now.ready})
 }
 
-// walk goes through the part from the first server with from's id or a greater one, and around.
-func (p *part) walk(from *server, yield func(*server) bool) bool {
-	if p.n == 0 {
-		return true
-	}
-	c, i := 0, 0
-	if from != nil {
-		c, i = p.find(from.Server)
-	}
-	if !p.each(p.chunks[c][i:], yield) {
-		return false
-	}
-	for _, chunk := range p.chunks[c+1:] {
-		if !p.each(chunk, yield) {
-			return false
-		}
-	}
-	for _, chunk := range p.chunks[:c] {
-		if !p.each(chunk, yield) {
-			return false
-		}
+// move has a tree hold a server or not.
+func move(t *orderTree, s *server, was, is bool, old, keys treeKeys) {
+	switch {
+	case was && !is:
+		t.remove(s)
+	case is && !was:
+		t.insert(s, keys)
+	case is && keys != old:
+		t.set(s, keys)
 	}
-	return p.each(p.chunks[c][:i], yield)
 }
 
-func (p *part) each(servers []*server, yield func(*server) bool) bool {
-	for _, s := range servers {
-		if *p.visits++; !yield(s) {
-			return false
-		}
+// turn lets walks begin at the k-th server, counted from 0.
+func (p *part) turn(k int) {
+	p.first = nil
+	if n := p.serving.len(); n > 0 {
+		p.first = p.serving.at(k % n)
 	}
-	return true
 }
 
 // serverHeap is a heap of servers that knows the place of each.
--- a/policy/membership.go
+++ b/policy/membership.go
@@ -78,6 +78,7 @@
 			b.forget(s)
 		}
 		s = &server{latency: b.set.Classes[0].Aim.Seconds() / 4, hash: hash(m.Server)}
+		s.status = noStatus
 		// A random part of a token, so that nodes who hear of a cold server together don't all send.
 		s.cold = coldBudget{tokens: b.rng.Float64(), last: b.now}
 		b.servers[m.Server] = s
@@ -88,7 +89,11 @@
 	b.enrol(s)
 	b.leave(s)
 	s.Member = m
+	old := s.group
 	s.group = b.groupOf(s)
+	if old != nil {
+		b.quit(old)
+	}
 	s.Kind, s.Zone = s.group.kind, s.group.zone // one string for all of a group
 	b.restore(s)
 	return s
@@ -115,12 +120,13 @@
 			fresh = append(fresh, s)
 		}
 	}
-	b.fleet.own.turn(b.stagger(b.fleet.own.n))
-	b.fleet.others.turn(b.stagger(b.fleet.others.n))
+	b.fleet.own.turn(b.stagger(b.fleet.own.serving.len()))
+	b.fleet.others.turn(b.stagger(b.fleet.others.serving.len()))
 	slices.SortFunc(fresh, b.packed)
 	for _, s := range fresh {
 		s.threshold = b.start(s)
 		s.lastSend = b.now - seconds(b.rng.Float64()*s.latency/s.threshold)
+		b.refresh(s)
 	}
 }
 
--- a/policy/outcomes.go
+++ b/policy/outcomes.go
@@ -25,10 +25,10 @@
 	a.server.use(b.now)
 	a.server.inflight--
 	a.server.keepLateResponse(r, a, e.Code)
-	b.recount(a.server)
 	b.report(a.server, e.Report)
 	r.settle()
 	b.observe(r, a, e)
+	b.refresh(a.server)
 	switch {
 	case e.Ended || r.ended || e.Code == OK:
 		b.end(r)
--- a/policy/outlier.go
+++ b/policy/outlier.go
@@ -86,13 +86,25 @@
 	if !open.named || open.ejected == 0 || len(r.attempts) > 0 || b.trials < 1 {
 		return nil
 	}
-	for s := range b.walk(open) {
-		h := &s.health
-		if h.out && !h.trialOut && b.now >= h.until && r.class.Repeat >= s.group.safest && b.coldRoom(s) {
-			h.trialOut = true
-			b.trials--
-			return s
+	s := b.firstReady(&open.own, b.fleet.own.first, r.class.Repeat)
+	if s == nil {
+		s = b.firstReady(&open.others, b.fleet.others.first, r.class.Repeat)
+	}
+	if s != nil {
+		s.health.trialOut = true
+		b.trials--
+	}
+	return s
+}
+
+// firstReady is the first ejected server in packing order that may be tried by now with a request that may be repeated
+// as freely as given; nil if there is none.
+func (b *Balancer) firstReady(p *part, from *server, repeat Repeat) (first *server) {
+	for level := range repeat + 1 {
+		s := p.ejected[level].first(from, readyKey, float64(b.now))
+		if s != nil && (first == nil || b.packed(s, first) < 0) {
+			first = s
 		}
 	}
-	return nil
+	return first
 }
--- a/policy/routing.go
+++ b/policy/routing.go
@@ -1,6 +1,7 @@
 package policy
 
 import (
+	"math"
 	"slices"
 	"time"
 )
@@ -8,70 +9,131 @@
 // Routing: packing in id order under a learned threshold (DESIGN).
 
 const (
-	manyNodes         = 3             // nodes; more would jam the first server, so each walks from elsewhere
-	startFew          = 6.0           // attempts first trusted to a server by all nodes, one each at least
-	startOthers       = 1.0           // where keys have homes, to one of another zone by all nodes together,
-	startShared       = 3.0           // and to one that all nodes of a zone share by key
-	leastPart         = 0.7           // part of a node's even part of startFew below which no threshold falls
-	thresholdGrow     = 0.05          // attempts a good answer adds; against slowCut, a sixth may be slow
-	slowCut           = 0.25          // attempts a slow answer takes off
-	trustGrow         = 0.02          // part by which a good answer raises the trust in shared servers
-	trustCut          = 0.1           // and a bad one lowers it: against trustGrow, a sixth may be bad
-	trustMost         = 8.0           // times the first trust; 20 was no better
-	failureCut        = 0.3           // attempts a full answer or a failure takes off
-	faultGain         = 0.05          // weight of one outcome in a server's part of faults
-	faultCommon       = 0.08          // part at every other server from which faults tell nothing,
-	blameLeast        = 0.25          // so that each counts for so much less
-	fullEnough        = 0.2           // part of full answers among bad ones from which servers shed early
-	lostMost          = 0.1           // part of the other answers that may time out there
-	fullGain, badGain = 0.02, 0.01    // weight of one answer in these parts, and in that of bad answers
-	stallTimes        = 5.0           // mean gaps between its answers from which a silent server is stalled
-	busyGain          = 0.05          // weight of one report in how busy the servers are
-	busyFrom          = 0.7           // part of the servers' cores in use from which a node keeps to less,
-	busyFull          = 0.95          // down to no more than the servers take at once
-	easeLeast         = 0.05          // part of that below which late answers make no node have less out
-	crowdLimit        = 2.0           // times its limit, the least busy is filled; more would only be late
-	slowPart          = 0.4           // part of the aim from which an answer tells of a crowd; later, queues jam
-	keyCandidates     = 3             // servers that keep a key warm in each zone
-	hashPrime         = 1099511628211 // of the 64-bit FNV hash
+	manyNodes         = 3          // nodes; more would jam the first server, so each walks from elsewhere
+	startFew          = 6.0        // attempts first trusted to a server by all nodes, one each at least
+	startOthers       = 1.0        // where keys have homes, to one of another zone by all nodes together,
+	startShared       = 3.0        // and to one that all nodes of a zone share by key
+	leastPart         = 0.7        // part of a node's even part of startFew below which no threshold falls
+	thresholdGrow     = 0.05       // attempts a good answer adds; against slowCut, a sixth may be slow
+	slowCut           = 0.25       // attempts a slow answer takes off
+	trustGrow         = 0.02       // part by which a good answer raises the trust in shared servers
+	trustCut          = 0.1        // and a bad one lowers it: against trustGrow, a sixth may be bad
+	trustMost         = 8.0        // times the first trust; 20 was no better
+	failureCut        = 0.3        // attempts a full answer or a failure takes off
+	faultGain         = 0.05       // weight of one outcome in a server's part of faults
+	faultCommon       = 0.08       // part at every other server from which faults tell nothing,
+	blameLeast        = 0.25       // so that each counts for so much less
+	fullEnough        = 0.2        // part of full answers among bad ones from which servers shed early
+	lostMost          = 0.1        // part of the other answers that may time out there
+	fullGain, badGain = 0.02, 0.01 // weight of one answer in these parts, and in that of bad answers
+	stallTimes        = 5.0        // mean gaps between its answers from which a silent server is stalled
+	busyGain          = 0.05       // weight of one report in how busy the servers are
+	busyFrom          = 0.7        // part of the servers' cores in use from which a node keeps to less,
+	busyFull          = 0.95       // down to no more than the servers take at once
+	easeLeast         = 0.05       // part of that below which late answers make no node have less out
+	crowdLimit        = 2.0        // times its limit, the least busy is filled; more would only be late
+	slowPart          = 0.4        // part of the aim from which an answer tells of a crowd; later, queues jam
+	keyCandidates     = 3          // servers that keep a key warm in each zone
 )
 
 // pick chooses a server: the first ready one in id order that holds fewer of this node's attempts
 // than its threshold, else the least busy; nil where none may be used. Room is also reported where
 // the least busy was never cut: what it takes is not known yet.
 func (b *Balancer) pick(r *request) (s *server, room bool) {
+	p := b.openTo(r)
+	if p == nil {
+		return nil, false
+	}
 	for _, s := range b.hashCandidates(r) {
 		if s != nil && b.usable(r, s) && b.hasRoom(s) {
 			return s, true
 		}
 	}
+	defer p.hide(r.attempts)()
 	// Few of many walks reach a cold server, but all nodes have a part in its budget.
-	for s := range b.walk(r.class.open) {
-		if b.ramp(s) < 1 && b.usable(r, s) && b.hasRoom(s) {
-			return s, true
-		}
+	if s := b.firstWithRoom(p, (*part).coldTree); s != nil {
+		return s, true
 	}
 	if b.crowded() {
 		return nil, false
 	}
-	var least *server
-	for s := range b.walk(r.class.open) {
-		if !b.usable(r, s) {
-			continue
-		}
-		if b.hasRoom(s) {
-			return s, true
-		}
-		if (least == nil || b.utilization(s) < b.utilization(least)) && !b.isHung(s) {
-			least = s
-		}
+	if s := b.firstWithRoom(p, (*part).servingTree); s != nil {
+		return s, true
 	}
+	least := b.leastBusy(p)
 	if least != nil && b.utilization(least) > crowdLimit && !b.shedEarly() {
 		return nil, !least.felt
 	}
 	return least, least != nil && !least.felt
 }
 
+// openTo is the servers that r may be sent to, but for those that it was sent to; nil for none. It guards the second
+// rule: what may have run only goes where repeats are dropped.
+func (b *Balancer) openTo(r *request) *pool {
+	open := r.class.open
+	if r.ranOn == nil || r.class.Repeat == Free {
+		return open
+	}
+	if r.class.Repeat != Guarded || b.now >= r.ranOn.sent+r.class.Window {
+		return nil
+	}
+	switch r.class.Group {
+	case GroupAll:
+		return open
+	case GroupZone:
+		return open.zones[r.ranOn.server.Zone]
+	}
+	return open.cells[r.ranOn.server.Cell]
+}
+
+// hide keeps the servers of attempts from being found in p, until what it returns is called.
+func (p *pool) hide(attempts []attempt) (restore func()) {
+	if len(attempts) == 0 {
+		return func() {}
+	}
+	set := func(hidden bool) {
+		for i := range attempts {
+			s := attempts[i].server
+			if !s.in {
+				continue
+			}
+			keys := s.status.keys
+			if hidden {
+				keys = allAbsent
+			}
+			part := p.part(s)
+			part.serving.set(s, keys)
+			if s.status.cold {
+				part.cold.set(s, keys)
+			}
+		}
+	}
+	set(true)
+	return func() { set(false) }
+}
+
+func (p *part) coldTree() *orderTree    { return &p.cold }
+func (p *part) servingTree() *orderTree { return &p.serving }
+
+// firstWithRoom is the first server with room in packing order, of one kind of tree; nil if there is none.
+func (b *Balancer) firstWithRoom(p *pool, tree func(*part) *orderTree) *server {
+	most := math.Nextafter(b.scale(), 0) // under the threshold
+	if s := tree(&p.own).first(b.fleet.own.first, roomKey, most); s != nil {
+		return s
+	}
+	return tree(&p.others).first(b.fleet.others.first, roomKey, most)
+}
+
+// leastBusy is the least busy server, of several the first in packing order; nil if all are hung or out of use.
+func (b *Balancer) leastBusy(p *pool) *server {
+	own := p.own.serving.least(b.fleet.own.first, loadKey)
+	others := p.others.serving.least(b.fleet.others.first, loadKey)
+	if own == nil || others != nil && others.status.keys[loadKey] < own.status.keys[loadKey] {
+		return others
+	}
+	return own
+}
+
 // hashCandidates are the servers that all nodes of a zone try first, in turn, for a key that a server serves
 // with less work if it met it lately: hot keys and those of a lost server stay warm. Rendezvous hashing
 // keeps them where they are as servers come and go.
@@ -79,25 +141,18 @@
 	if r.key == 0 {
 		return best
 	}
-	var most [keyCandidates]uint64
-	for s := range b.walkOwn(r.class.open) {
-		h := (r.key ^ s.hash) * hashPrime
-		for i := range best {
-			if s != nil && (best[i] == nil || h > most[i]) {
-				s, best[i] = best[i], s
-				h, most[i] = most[i], h
-			}
-		}
-	}
-	return best
+	return r.class.open.own.keys.candidates(r.key)
 }
 
 // isHung tells whether s has been silent for so long that chance hardly explains it: with n requests of a
 // mean latency, answers come n times as often. It may be back any moment, so it isn't ejected for that;
 // but what is sent meanwhile piles up, and all of it is late.
-func (b *Balancer) isHung(s *server) bool {
+func (b *Balancer) isHung(s *server) bool { return s.inflight > 0 && b.now > b.hungAt(s) }
+
+// hungAt is the time after which s counts as hung, if it answers nothing more and has attempts out.
+func (b *Balancer) hungAt(s *server) Time {
 	gap := seconds(stallTimes * s.latency / float64(max(1, b.holds(s))))
-	return s.inflight > 0 && b.now-max(s.lastDone, s.busyFrom) > gap
+	return max(s.lastDone, s.busyFrom) + gap
 }
 
 // start is what s is first trusted with by this node.
@@ -131,9 +186,6 @@
 	return float64(out) >= max(1, b.ease*(1+spare*(crowdLimit-1))*startFew*float64(warm)/float64(b.set.Nodes))
 }
 
-// crowds tells whether s counts among the servers that this node may have its part of attempts out at.
-func (b *Balancer) crowds(s *server) bool { return b.ramp(s) >= 1 && !s.health.out }
-
 // utilization sets attempts in flight against what s was seen to take, lest one that others fill look idle.
 func (b *Balancer) utilization(s *server) float64 { return float64(b.holds(s)+1) / b.limit(s) }
 
@@ -144,25 +196,33 @@
 	return s.inflight + len(s.lateResponses)
 }
 
-// limit is the threshold of s, for a shared server scaled by the trust in all such: a node sees too
+// limit is the threshold of s, for shared servers scaled by the trust in all such: a node sees too
 // little of each to learn its threshold in time.
-func (b *Balancer) limit(s *server) float64 {
-	if b.shared(s) {
-		return s.threshold * b.trust
+func (b *Balancer) limit(s *server) float64 { return s.threshold * b.scale() }
+
+// scale is what thresholds are multiplied by.
+func (b *Balancer) scale() float64 {
+	if b.scaled() {
+		return b.trust
 	}
-	return s.threshold
+	return 1
 }
 
-// shared tells whether other nodes send s most of its work: it is the home of keys for all.
-func (b *Balancer) shared(s *server) bool { return b.staggered() && b.set.WarmKeys }
+// scaled tells whether other nodes send servers most of their work: they are the homes of keys for all.
+func (b *Balancer) scaled() bool { return b.staggered() && b.set.WarmKeys }
 
 // hasRoom tells whether a server is under its threshold. A threshold under one is kept in time.
 func (b *Balancer) hasRoom(s *server) bool {
+	return float64(b.holds(s)) < b.limit(s) && !b.isHung(s) && b.now >= b.pacedUntil(s)
+}
+
+// pacedUntil is when a server without attempts may have one, by a threshold under one.
+func (b *Balancer) pacedUntil(s *server) Time {
 	limit := b.limit(s)
 	if limit >= 1 {
-		return float64(b.holds(s)) < limit && !b.isHung(s)
+		return 0
 	}
-	return b.holds(s) == 0 && b.now-s.lastSend >= seconds(s.latency*(1/limit-1))
+	return s.lastSend + seconds(s.latency*(1/limit-1))
 }
 
 // usable tells whether r may go to s now: s is in service, the rules allow it, and, if cold, it has room.
@@ -232,9 +292,9 @@
 	if code != Full {
 		track(&b.lost, badGain, code == TimedOut)
 	}
-	if b.shared(s) && step > 0 {
+	if b.scaled() && step > 0 {
 		b.trust = min(trustMost, b.trust*(1+trustGrow))
-	} else if b.shared(s) && bad && code != Full {
+	} else if b.scaled() && bad && code != Full {
 		b.trust = max(1, b.trust*(1-trustCut))
 	}
 	if code == TimedOut || code == OK && latency > c.Aim { // servers have more than they can do in time
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -1,7 +1,9 @@
 package policy
 
 import (
+	"math"
 	"slices"
+	"time"
 )
 
 // Slow start: each node's part of a cold server's budget.
@@ -46,25 +48,65 @@
 }
 
 // coldRoom guards the fourth rule. A cold server may get its present part of what a warm one of its kind
-// takes, and no more. Without reports, this node's mean rate per server, summed over the nodes, stands
-// for that.
+// takes, and no more. It brings the server's budget up to now: between two looks, by the mean of the rates at both.
 func (b *Balancer) coldRoom(s *server) bool {
-	part := b.ramp(s)
-	if part >= 1 {
+	if b.ramp(s) >= 1 {
 		return true
 	}
+	rate, _ := b.coldRate(s)
+	k := &s.cold
+	mean := rate
+	if k.rate > 0 {
+		mean = (k.rate + rate) / 2
+	}
+	most := max(1, rate*b.set.Rules.FallFor.Seconds()/4)
+	k.tokens, k.last, k.rate = min(most, k.tokens+mean*(b.now-k.last).Seconds()), b.now, rate
+	return k.tokens >= 1
+}
+
+// coldRate is how many requests a second a cold server may get from this process, and by how much that grows in a
+// second. Without reports, this node's mean rate per server, summed over the nodes, stands for what a warm
+// server takes.
+func (b *Balancer) coldRate(s *server) (rate, growth float64) {
 	mean := b.doneRate() / float64(max(1, b.fleet.len()))
 	if rate, ok := b.rates[s.Kind]; ok {
 		mean = rate / float64(b.set.Nodes)
 	}
 	mean = max(mean, coldFloor/float64(b.set.Nodes))
-	rate := coldMargin * max(0.5, b.set.Rules.FallMultiple-1) * part * mean
+	whole := coldMargin * max(0.5, b.set.Rules.FallMultiple-1) * mean / float64(b.processes)
+	rate, growth = whole*b.ramp(s), whole*(1-b.set.Rules.ColdShare)/b.set.Rules.ColdFor.Seconds()
 	if s.takes > 0 {
-		rate = min(rate, coldUse*s.takes/float64(b.set.Nodes))
+		if most := coldUse * s.takes / float64(b.set.Nodes) / float64(b.processes); most < rate {
+			return most, 0
+		}
+	}
+	return rate, growth
+}
+
+// coldWait is how long it takes until the budget of a cold server allows a request, at the rate that there is now.
+func (b *Balancer) coldWait(s *server) time.Duration {
+	need := 1 - s.cold.tokens
+	rate, growth := b.coldRate(s)
+	slope := rate + math.Sqrt(rate*rate+2*growth*need) // of rate*t + growth*t^2/2 = need
+	longest := b.set.Rules.ColdFor
+	if slope <= 0 {
+		return longest
+	}
+	return min(longest, max(time.Millisecond, seconds(min(2*need/slope, longest.Seconds()))))
+}
+
+// setProcesses follows how many processes this node has. Each cold server's budget is brought up to now at the old
+// number before the new one counts.
+func (b *Balancer) setProcesses(n int) {
+	looked := slices.Clone(b.ring)
+	for _, s := range looked {
+		b.coldRoom(s)
+	}
+	b.processes = n
+	for _, s := range looked {
+		if s.cold.rate > 0 {
+			s.cold.rate, _ = b.coldRate(s)
+		}
+		b.refresh(s)
 	}
-	rate /= float64(b.processes)
-	k := &s.cold
-	most := max(1, rate*b.set.Rules.FallFor.Seconds()/4)
-	k.tokens, k.last = min(most, k.tokens+rate*(b.now-k.last).Seconds()), b.now
-	return k.tokens >= 1
 }
--- a/policy/state.go
+++ b/policy/state.go
@@ -36,13 +36,13 @@
 	trials     float64 // bad trials of ejected servers that may yet be made
 	servers    map[string]*server
 	reqs       map[string]*request
-	queued     []*request // waiting for a usable server, oldest first
-	queueTimer bool       // the hold timer is set
-	budget     Budget     // of attempts beyond the first of each request
-	owed       float64    // part of an attempt not yet booked
-	took       []Time     // requests taken in the span of the budget of attempts, oldest first
-	extra      []Time     // attempts beyond a request's first in it
-	done       float64    // answers a second, as of doneAt
+	queue      requestQueue // of those that wait for a usable server
+	queueTimer bool         // the hold timer is set
+	budget     Budget       // of attempts beyond the first of each request
+	owed       float64      // part of an attempt not yet booked
+	took       []Time       // requests taken in the span of the budget of attempts, oldest first
+	extra      []Time       // attempts beyond a request's first in it
+	done       float64      // answers a second, as of doneAt
 	doneAt     Time
 	rates      map[string]float64      // requests a second that warm servers of each kind serve, by their reports
 	busy       float64                 // part of their cores that servers use lately, by their reports
@@ -98,6 +98,7 @@
 	ended    bool     // the final answer is given
 	stream   bool     // the answer has begun
 	queued   bool     // it waited for a server at least once
+	place    queuedRequest
 }
 
 // lateResponse is an attempt that was given up.
@@ -134,6 +135,7 @@
 type coldBudget struct {
 	tokens float64
 	last   Time
+	rate   float64 // requests a second, as of then; 0 if not known yet
 }
 
 // track moves the part of hits lately by one more.
@@ -144,9 +146,6 @@
 	}
 }
 
-// held is how many requests wait for a server.
-func (b *Balancer) held() int { return len(b.queued) }
-
 // since drops the times before from, which come first.
 func since(times []Time, from Time) []Time {
 	for len(times) > 0 && times[0] < from {
@@ -176,7 +175,7 @@
 func (b *Balancer) String() string {
 	var t strings.Builder
 	fmt.Fprintf(&t, "pace=%.2f bad=%.2f full=%.2f lost=%.2f blame=%.2f held=%d extra=%d", b.pace, b.bad,
-		b.fullPart, b.lost, b.blame, len(b.queued), len(b.extra))
+		b.fullPart, b.lost, b.blame, b.queue.len(), len(b.extra))
 	told, idle, more, out := 0, 0, 0, 0
 	for s := range b.walk(&b.fleet) {
 		switch {
