Keep the promises that have a time outside the loop, take control events first, shed by lag

Change: the queue of events has three priorities (events.go): control, outcomes, arrivals. The handler of a request answers by itself as its time is nearly up; whoever claims the end first gives the one answer, and no attempt begins for an ended request. Drains heard bind attempts before the loop takes them up (stopLeaving); older news that waits does not undo them. The loop sheds what waited for over 20 ms once all did for 100 ms (CoDel, RFC 8289), and handlers refuse at once behind such a queue, with the time to come back. No attempt begins with under 2 ms left. Metrics: lag, work by kind of event, queue, held requests, time until a list is in force; the summary has the longest wait and work, and the process's processor time; one line a second when over 100 ms.

TestFinishFailsWhatIsOpen now waits until its request is open, for the end goes before requests that wait; its checks are as they were.

--- a/internal/invariant/rules.go
+++ b/internal/invariant/rules.go
@@ -68,6 +68,9 @@
 	DepartureGrace = 100 * time.Millisecond
 	// DeadlineSlack is by how much a server may be told more time than the client has left (TERMS).
 	DeadlineSlack = 150 * time.Millisecond
+	// LeastAttempt is how much of a request's time has to be left for an attempt to begin: servers are told whole
+	// milliseconds, and may drop what has less without a word (STANDING).
+	LeastAttempt = 2 * time.Millisecond
 	// AnswerGrace is how long after the client's time a final answer is still one (STANDING).
 	AnswerGrace = 500 * time.Millisecond
 )
@@ -103,7 +106,7 @@
 		return AttemptAfterDeparture
 	case a.BodySpent:
 		return BodySpent
-	case a.Now >= a.Deadline:
+	case TimeUp(a.Deadline - a.Now):
 		return AttemptAfterDeadline
 	case len(a.Prior) >= max(1, a.MaxAttempts):
 		return TooManyAttempts
@@ -111,6 +114,9 @@
 	return mayRepeat(a)
 }
 
+// TimeUp tells whether so little is left of a request's time that no attempt may begin.
+func TimeUp(left time.Duration) bool { return left < LeastAttempt }
+
 // mayRepeat holds the second rule of the contract (WIRE, no duplicate effect).
 func mayRepeat(a Attempt) Rule {
 	firstRun := -1
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -10,6 +10,7 @@
 	"net/http"
 	"slices"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/internal/discovery"
@@ -18,8 +19,6 @@
 )
 
 const (
-	// eventBuffer lets handlers and attempts hand in an event while the loop is busy with others.
-	eventBuffer = 1024
 	// timeOrigin is what the clock shows at the start. Servers that started before the node did have
 	// a time above 0 all the same: 0 means long ago, and would count a cold server as warm.
 	timeOrigin = 24 * time.Hour
@@ -32,6 +31,8 @@
 	ownRetryAfter    = time.Second // told to clients that the node refuses without the module
 	idsFor           = 10 * time.Second
 	maxIDs           = 1 << 15
+	// lateAfter is how long the loop may leave an event waiting, or take for one, without a line in the log.
+	lateAfter = 100 * time.Millisecond
 )
 
 // clock turns the machine's monotonic clock into policy.Time.
@@ -64,7 +65,8 @@
 	disc    *discovery.Client
 	inForce func(revision int64, at time.Time) // hears of each list that requests go by; nil: nobody does
 
-	events   chan any
+	events   *eventQueue
+	shedder  *shedder
 	done     chan struct{} // closed when the loop has ended
 	ready    chan struct{} // closed when the known list is in
 	serves   chan struct{} // closed when a server is known
@@ -72,7 +74,8 @@
 	members  map[string]discovery.Member // the list as it stands
 	listedAt int64                       // its revision
 	starts   *serverStarts
-	heard    bool               // by discovery, since the start
+	heard    atomic.Bool        // by discovery, since the start
+	places   atomic.Uint64      // of news, in the order in which it was heard
 	lastSent map[string]sending // to each server listed; for the log
 	used     ids
 	owed     int // requests without their answer
@@ -91,10 +94,6 @@
 	ended    bool
 	attempts []attempt
 	pending  int
-	// left ends when the client has left: no attempt begins after that, whether or not the site lets the module
-	// call off those that have begun.
-	left  context.Context
-	leave context.CancelFunc
 }
 
 type attempt struct {
@@ -130,7 +129,7 @@
 // The events of the loop, beside news.
 type (
 	arrival   struct{ x *clientRequest }
-	departure struct {
+	departure struct { // its handler has ended the request: the client has left, or its time was up
 		x    *clientRequest
 		told chan struct{} // closed when it is heeded; nil: nobody waits for that
 	}
@@ -157,7 +156,7 @@
 		return nil, err
 	}
 	l := &loop{clock: ck, module: balancer, allowed: c.Settings.Allowed, maxOpen: c.MaxOpen, up: up, monitor: up.monitor, metrics: newMetrics(),
-		events: make(chan any, eventBuffer), done: make(chan struct{}), ready: make(chan struct{}), serves: make(chan struct{}),
+		events: newEventQueue(), shedder: newShedder(), done: make(chan struct{}), ready: make(chan struct{}), serves: make(chan struct{}),
 		classes: make(map[string]policy.Class), requests: make(map[string]*request), lastSent: make(map[string]sending), starts: newServerStarts(ck), used: ids{seed: maphash.MakeSeed()}}
 	for _, class := range c.Settings.Classes {
 		l.classes[class.Name] = class
@@ -167,12 +166,18 @@
 	return l, nil
 }
 
-// send hands the loop an event. After the loop's end there is nobody to tell.
+// send hands the loop an event, and never waits for it. What discovery has told binds attempts from here on: the loop may be
+// late, and an attempt under way.
 func (l *loop) send(ev any) {
-	select {
-	case l.events <- ev:
-	case <-l.done:
+	if n, ok := ev.(discovery.News); ok {
+		heard := heardNews{News: n, place: l.places.Add(1), heard: time.Now()}
+		if n.Kind == policy.ListReplace || n.Kind == policy.ListUpdate {
+			l.heard.Store(true)
+			l.up.stopLeaving(heard)
+		}
+		ev = heard
 	}
+	l.events.push(ev)
 }
 
 // run handles events until ctx ends; then it calls off what is out and waits for it. The list as last
@@ -182,7 +187,7 @@
 	defer l.attempts.Wait()
 	defer cancel()
 	defer close(l.done)
-	l.handle(attemptsCtx, discovery.News{Kind: policy.ListRestored, Members: known.Members, Revision: known.Revision})
+	l.handle(attemptsCtx, heardNews{News: discovery.News{Kind: policy.ListRestored, Members: known.Members, Revision: known.Revision}})
 	close(l.ready)
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
@@ -191,27 +196,32 @@
 	summary := time.NewTicker(summaryEvery)
 	defer summary.Stop()
 	for {
+		select {
+		case now := <-sweep.C:
+			l.sweep(now)
+		case <-summary.C:
+			l.summarize()
+		case <-ctx.Done():
+			return
+		default:
+		}
+		if ev, ok := l.events.take(); ok {
+			l.takeUp(attemptsCtx, ev)
+			l.fire(attemptsCtx)
+			continue
+		}
 		if len(l.timers) > 0 {
 			wake.Reset(l.timers[0].due - l.clock.now())
 		} else {
 			wake.Stop()
 		}
 		select {
-		case ev := <-l.events:
-			l.handle(attemptsCtx, ev)
+		case <-l.events.wake:
 		case <-wake.C:
 		case now := <-sweep.C:
-			l.starts.read()
-			l.up.sweep(now)
-			if l.clients != nil {
-				l.clients.closeExpired(now)
-			}
+			l.sweep(now)
 		case <-summary.C:
-			open, evicted := 0, 0
-			if l.clients != nil {
-				open, evicted = l.clients.counts()
-			}
-			l.trace.summary(l.owed, open, evicted, fmt.Sprint(l.module), l.monitor)
+			l.summarize()
 		case <-ctx.Done():
 			return
 		}
@@ -219,12 +229,66 @@
 	}
 }
 
+// sweep sees to what is looked at once a second.
+func (l *loop) sweep(now time.Time) {
+	l.starts.read()
+	l.up.sweep(now)
+	if l.clients != nil {
+		l.clients.closeExpired(now)
+	}
+}
+
+func (l *loop) summarize() {
+	open, evicted := 0, 0
+	if l.clients != nil {
+		open, evicted = l.clients.counts()
+	}
+	l.trace.shedAtDoor = l.shedder.atDoor.Swap(0)
+	l.trace.summary(l.owed, open, evicted, l.events.length(), fmt.Sprint(l.module), l.monitor)
+}
+
+// takeUp handles an event of the queue, or turns it away for having waited too long in it.
+func (l *loop) takeUp(ctx context.Context, ev queuedEvent) {
+	began := time.Now()
+	waited := began.Sub(ev.since)
+	kind := kindOf(ev.event)
+	if a, ok := ev.event.(arrival); ok && l.shedder.took(began, waited) {
+		kind = "shed arrival"
+		l.shed(a.x)
+	} else {
+		l.handle(ctx, ev.event)
+	}
+	l.noteWork(kind, waited, time.Since(began))
+}
+
+// noteWork counts an event, and logs one that waited or took too long.
+func (l *loop) noteWork(kind string, waited, took time.Duration) {
+	if m, ok := l.module.(*policy.Balancer); ok {
+		l.metrics.held.Set(float64(m.Waiting()))
+	}
+	l.metrics.loopLag.Observe(waited.Seconds())
+	l.metrics.loopWork.WithLabelValues(kind).Observe(took.Seconds())
+	l.trace.late(waited, took)
+	if max(waited, took) > lateAfter && l.trace.mayWriteOnce(l.clock.now(), "late") {
+		slog.Warn("loop: late", "event", kind, "waited", waited, "took", took, "queue", l.events.length(), "open", l.owed)
+	}
+}
+
+// shed turns a request away that the module has not seen.
+func (l *loop) shed(x *clientRequest) {
+	if x.answerUnseen(answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter}) {
+		l.trace.shed(shedForLag)
+	}
+}
+
 // fire handles the timers that are due.
 func (l *loop) fire(ctx context.Context) {
 	for now := l.clock.now(); len(l.timers) > 0 && l.timers[0].due <= now; {
 		t := heap.Pop(&l.timers).(*timer)
 		if r := t.backstop; r == nil {
+			began := time.Now()
 			l.tell(ctx, policy.Timer{Token: t.token})
+			l.noteWork(kindOf(timerDue{}), now-t.due, time.Since(began))
 		} else {
 			l.fail(ctx, r, http.StatusGatewayTimeout, "backstop") // the module has said nothing
 		}
@@ -236,11 +300,12 @@
 	case arrival:
 		l.arrive(ctx, e.x)
 	case departure:
+		e.x.leave()
+		e.x.claim(clientLeft)
 		// Another request may bear the id by now.
 		if r := l.requests[e.x.req.ID]; r != nil && r.clientRequest == e.x && !r.ended {
 			l.settle(r)
-			r.leave()
-			l.trace.answered(l.clock.now(), r, answer{}, "client left")
+			l.traceHandlersEnd(r)
 			l.tell(ctx, policy.Lapsed{ID: r.req.ID})
 			l.drop(r)
 		}
@@ -254,12 +319,11 @@
 		}
 	case ending:
 		l.end(ctx, e)
-	case discovery.News:
-		l.heard = l.heard || e.Kind == policy.ListReplace || e.Kind == policy.ListUpdate
+	case heardNews:
 		l.listed(ctx, e)
 	case restoredSnapshot: // until discovery is heard, which knows better
-		if !l.heard && e.Revision != l.listedAt && len(e.Members) > 0 {
-			l.listed(ctx, discovery.News{Kind: policy.ListReplace, Members: e.Members, Revision: e.Revision})
+		if !l.heard.Load() && e.Revision != l.listedAt && len(e.Members) > 0 {
+			l.listed(ctx, heardNews{News: discovery.News{Kind: policy.ListReplace, Members: e.Members, Revision: e.Revision}})
 		}
 	case snapshotRequest:
 		left := snapshot{Revision: l.listedAt, Members: slices.Collect(maps.Values(l.members))}
@@ -280,18 +344,20 @@
 }
 
 func (l *loop) arrive(ctx context.Context, x *clientRequest) {
+	if x.ending() != requestOpen { // its handler has answered, or its client has left
+		return
+	}
 	// The module would wait for the first of an id and never answer this one; and what came under an
 	// id before may have run, also when it is over.
 	if l.requests[x.req.ID] != nil || !l.used.add(x.req.ID, l.clock.now()) {
-		x.reply <- answer{status: http.StatusConflict}
+		x.answerUnseen(answer{status: http.StatusConflict})
 		return
 	}
 	if l.stopping || l.maxOpen > 0 && l.owed >= l.maxOpen {
-		x.reply <- answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter}
+		x.answerUnseen(answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter})
 		return
 	}
 	r := &request{clientRequest: x}
-	r.left, r.leave = context.WithCancel(ctx)
 	r.deadline = x.came + x.clientWaits - r.margin()
 	l.requests[x.req.ID] = r
 	l.owed++
@@ -337,9 +403,10 @@
 	l.drop(e.r)
 }
 
-func (l *loop) listed(ctx context.Context, n discovery.News) {
+func (l *loop) listed(ctx context.Context, heard heardNews) {
+	n := heard.News
 	if n.Kind != policy.ListUnavailable {
-		l.up.update(n)
+		l.up.follow(heard)
 		l.noteLeaving(n, l.keep(n))
 		l.noteServers()
 	}
@@ -353,6 +420,9 @@
 	began := l.clock.now()
 	l.tell(ctx, policy.MemberList{Kind: n.Kind, Members: members})
 	l.noteInForce(n, began)
+	if !heard.heard.IsZero() && n.Kind != policy.ListUnavailable {
+		l.metrics.listDelay.Observe(time.Since(heard.heard).Seconds())
+	}
 }
 
 // noteInForce tells that requests go by a list from now on, and how long the module took to take it in.
@@ -510,6 +580,14 @@
 		l.skip(r, a, now, denied)
 		return
 	}
+	r.attempted.Store(true) // before it is seen whether the handler has answered, which looks the other way round
+	if r.ending() != requestOpen {
+		l.skip(r, a, now, invariant.AttemptAfterAnswer)
+		return
+	}
+	if n == 0 {
+		l.metrics.decisionTime.Observe((now - r.came).Seconds())
+	}
 	r.pending++
 	until := r.deadline
 	if a.Until > 0 {
@@ -532,8 +610,11 @@
 			clientWaits: l.clock.at(r.came + r.clientWaits),
 			by:          by,
 			left:        r.left,
-			uploaded:    func(took time.Duration) { l.send(uploaded{r, took}) },
-			end:         func(e result) { l.send(ending{r, n, e}) },
+			uploaded: func(took time.Duration) {
+				r.postpone(l.clock, took)
+				l.send(uploaded{r, took})
+			},
+			end: func(e result) { l.send(ending{r, n, e}) },
 		})
 	})
 }
@@ -596,6 +677,9 @@
 }
 
 func (l *loop) refuse(r *request, wait time.Duration, why string) {
+	if len(r.attempts) == 0 {
+		l.metrics.decisionTime.Observe((l.clock.now() - r.came).Seconds())
+	}
 	class := l.classes[r.req.Class]
 	if denied := invariant.MayRefuse(class.Repeat, class.Group, l.prior(r, class, "")); denied != invariant.None {
 		l.monitor.Misdirected(denied, r.req.ID, "why", why, "attempts", r.history())
@@ -614,15 +698,30 @@
 // answer gives the client its one answer; whatever comes later is not passed on. The log is told who
 // ended the request, or why.
 func (l *loop) answer(r *request, a answer, by string) {
-	if !r.ended {
-		l.settle(r)
-		now := l.clock.now()
-		if broken := invariant.InTime(now, r.deadline+r.margin()); broken != invariant.None {
-			l.monitor.Violation(broken, r.req.ID, "after", now-r.came, "waits", r.clientWaits, "by", by)
-		}
-		l.trace.answered(now, r, a, by)
-		r.reply <- a
+	if r.ended {
+		return
+	}
+	l.settle(r)
+	if !r.claim(answeredByLoop) { // its handler was first; the event that says so has not been taken up
+		a.drop()
+		l.traceHandlersEnd(r)
+		return
+	}
+	now := l.clock.now()
+	if broken := invariant.InTime(now, r.deadline+r.margin()); broken != invariant.None {
+		l.monitor.Violation(broken, r.req.ID, "after", now-r.came, "waits", r.clientWaits, "by", by)
+	}
+	l.trace.answered(now, r, a, by)
+	r.reply <- a
+}
+
+// traceHandlersEnd notes the end of a request that its handler has ended.
+func (l *loop) traceHandlersEnd(r *request) {
+	if r.ending() == clientLeft {
+		l.trace.answered(l.clock.now(), r, answer{}, "client left")
+		return
 	}
+	l.trace.answered(l.clock.now(), r, r.lateAnswer(), shedForTime)
 }
 
 // fail gives the client its one answer where the module has none in time, and tells it so.
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -232,6 +232,7 @@
 func TestFinishFailsWhatIsOpen(t *testing.T) {
 	l, s := startLoop(t, "127.0.0.1:9", func(policy.Time, policy.Event) []policy.Action { return nil })
 	x := l.arriveNow("r1", long)
+	s.has(t, "list 2", "request r1") // the end goes before requests that wait for the loop
 	l.send(finish{})
 	if a := receive(t, "the answer", x.reply); a.status != http.StatusBadGateway {
 		t.Errorf("status %d", a.status)
@@ -242,7 +243,8 @@
 // A request that is over leaves nothing behind, however far off its deadline was.
 func TestEndedRequestsAreForgotten(t *testing.T) {
 	l := &loop{clock: clock{start: time.Now()}, requests: make(map[string]*request), used: ids{seed: maphash.MakeSeed()},
-		trace: trace{metrics: newMetrics()}}
+		metrics: newMetrics()}
+	l.trace.metrics = l.metrics
 	l.module = &script{answer: func(_ policy.Time, ev policy.Event) []policy.Action {
 		if e, ok := ev.(policy.Request); ok {
 			return []policy.Action{{Kind: policy.Refuse, ID: e.ID}}
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -38,6 +38,12 @@
 	closed      *prometheus.CounterVec
 	opened      prometheus.Counter
 	attemptTime prometheus.Histogram
+
+	loopLag      prometheus.Histogram
+	loopWork     *prometheus.HistogramVec
+	decisionTime prometheus.Histogram
+	listDelay    prometheus.Histogram
+	held         prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -56,10 +62,26 @@
 		attemptTime: prometheus.NewHistogram(prometheus.HistogramOpts{Name: "wayhold_attempt_seconds",
 			Help: "Time from an attempt's beginning to its outcome.", Buckets: prometheus.ExponentialBuckets(0.001, 2, 14)}),
 	}
+	histogram := func(name, help string, least float64) prometheus.Histogram {
+		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(least, 4, 10)})
+	}
+	m.loopLag = histogram("wayhold_loop_lag_seconds", "Time that events waited for the decision loop.", 1e-5)
+	m.loopWork = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "wayhold_loop_work_seconds",
+		Help: "Time that the decision loop took for an event, by its kind.", Buckets: prometheus.ExponentialBuckets(1e-6, 4, 10)}, []string{"event"})
+	m.decisionTime = histogram("wayhold_request_held_seconds", "Time from a request's arrival to its first attempt, or to its refusal without one.", 1e-5)
+	m.listDelay = histogram("wayhold_list_in_force_seconds", "Time from when news of the list was heard to when decisions went by it.", 1e-5)
+	m.held = prometheus.NewGauge(prometheus.GaugeOpts{Name: "wayhold_requests_held", Help: "Requests that wait for a server."})
+	m.registry.MustRegister(m.loopLag, m.loopWork, m.decisionTime, m.listDelay, m.held)
 	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.closed, m.opened, m.attemptTime)
 	return m
 }
 
+// countShed counts a request that the node refused by itself.
+func (m *metrics) countShed(reason string) {
+	m.requests.WithLabelValues(resultRefused).Inc()
+	m.refusals.WithLabelValues(reason).Inc()
+}
+
 // newUnaskedCounter counts what servers sent unasked.
 func newUnaskedCounter() prometheus.Counter {
 	return prometheus.NewCounter(prometheus.CounterOpts{Name: "wayhold_unasked_answers_total",
--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -28,7 +28,7 @@
 // What many servers and tenants leave to a successor is written and read whole.
 func TestManyServersAreHandedOver(t *testing.T) {
 	l := manyLoop(t, many)
-	l.listed(t.Context(), discovery.News{Kind: policy.ListReplace, Members: manyMembers(many), Revision: 5})
+	l.listed(t.Context(), heardNews{News: discovery.News{Kind: policy.ListReplace, Members: manyMembers(many), Revision: 5}})
 	for i := range many {
 		l.module.Handle(l.clock.now(), policy.Request{ID: fmt.Sprint("r", i), Class: "read", Tenant: fmt.Sprint("tenant ", i), ExpiresIn: time.Second})
 	}
@@ -166,21 +166,21 @@
 			l := manyLoop(b, n)
 			lists := [2]discovery.News{{Kind: policy.ListReplace, Members: manyMembers(n)}, {Kind: policy.ListReplace, Members: manyMembers(2 * n)[n:]}}
 			for i := 0; b.Loop(); i++ {
-				l.listed(b.Context(), lists[i%2])
+				l.listed(b.Context(), heardNews{News: lists[i%2]})
 			}
 		})
 		b.Run(fmt.Sprint("one drains ", n), func(b *testing.B) {
 			l := manyLoop(b, n)
-			l.listed(b.Context(), discovery.News{Kind: policy.ListReplace, Members: manyMembers(n)})
+			l.listed(b.Context(), heardNews{News: discovery.News{Kind: policy.ListReplace, Members: manyMembers(n)}})
 			for i := 0; b.Loop(); i++ {
 				m := manyMembers(1)
 				m[0].Availability = policy.Availability(i % 2)
-				l.listed(b.Context(), discovery.News{Kind: policy.ListUpdate, Members: m})
+				l.listed(b.Context(), heardNews{News: discovery.News{Kind: policy.ListUpdate, Members: m}})
 			}
 		})
 		b.Run(fmt.Sprint("word to a successor ", n), func(b *testing.B) {
 			l := manyLoop(b, n)
-			l.listed(b.Context(), discovery.News{Kind: policy.ListReplace, Members: manyMembers(n)})
+			l.listed(b.Context(), heardNews{News: discovery.News{Kind: policy.ListReplace, Members: manyMembers(n)}})
 			for b.Loop() {
 				left := snapshot{Members: manyMembers(n), Policy: l.module.(*policy.Balancer).Snapshot(l.clock.now())}
 				raw, err := encodeSnapshot(left)
@@ -192,7 +192,7 @@
 		})
 		b.Run(fmt.Sprint("request ", n), func(b *testing.B) {
 			l := manyLoop(b, n)
-			l.listed(b.Context(), discovery.News{Kind: policy.ListReplace, Members: manyMembers(n)})
+			l.listed(b.Context(), heardNews{News: discovery.News{Kind: policy.ListReplace, Members: manyMembers(n)}})
 			for i := 0; b.Loop(); i++ {
 				id := fmt.Sprint("r", i)
 				now := l.clock.now()
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -13,6 +13,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"golang.org/x/sync/semaphore"
@@ -55,6 +56,66 @@
 	clientWaits time.Duration
 	reply       chan answer // holds one, so the loop never waits for the client
 	client      *clientConn // that it came on; nil where others accepted it
+
+	// left ends when the client has left, or has its answer: no attempt begins after that, whether or not the site lets
+	// the module call off those that have begun.
+	left      context.Context
+	leave     context.CancelFunc
+	end       atomic.Int32 // a requestEnd: who ended it
+	attempted atomic.Bool  // an attempt may have begun
+	late      *time.Timer  // fires when its handler answers in the loop's place; nil: never
+}
+
+// requestEnd tells who has ended a request. The first to claim it does, and nobody else answers.
+type requestEnd int32
+
+const (
+	requestOpen requestEnd = iota
+	answeredByLoop
+	answeredByHandler // its time was up, and the loop had said nothing
+	clientLeft
+)
+
+// begin makes a request ready for the loop.
+func (x *clientRequest) begin() {
+	x.reply = make(chan answer, 1)
+	x.left, x.leave = context.WithCancel(context.Background())
+}
+
+// claim ends a request, or reports false where somebody has.
+func (x *clientRequest) claim(by requestEnd) bool {
+	return x.end.CompareAndSwap(int32(requestOpen), int32(by))
+}
+
+func (x *clientRequest) ending() requestEnd { return requestEnd(x.end.Load()) }
+
+// answerUnseen answers a request that the module has not been told of, unless it is ended.
+func (x *clientRequest) answerUnseen(a answer) bool {
+	if !x.claim(answeredByLoop) {
+		return false
+	}
+	x.reply <- a
+	return true
+}
+
+// lateAnswer is what a client gets whose time is up. That nothing ran is promised where no attempt has begun.
+func (x *clientRequest) lateAnswer() answer {
+	if x.attempted.Load() {
+		return answer{status: http.StatusGatewayTimeout}
+	}
+	return answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter}
+}
+
+// answerBy is when its handler answers in the loop's place: behind the loop's own backstop, and in the client's time.
+func (x *clientRequest) answerBy(c clock) time.Time {
+	return c.at(x.came + x.clientWaits - x.margin()/4)
+}
+
+// postpone moves that by the time that a large body took to go on.
+func (x *clientRequest) postpone(c clock, took time.Duration) {
+	if x.late != nil {
+		x.late.Reset(time.Until(x.answerBy(c)) + took)
+	}
 }
 
 // answer is what a client gets.
@@ -145,7 +206,14 @@
 		reject(w, c, status, problem)
 		return
 	}
+	defer x.leave()
 	defer x.reserved.release()
+	if s.loop.shedder.refuses(time.Now(), s.loop.events.oldestArrival()) {
+		s.loop.shedder.atDoor.Add(1)
+		s.loop.metrics.countShed(shedAtDoor)
+		s.answer(w, r, x, answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter})
+		return
+	}
 	if x.rest == nil { // while it was read, or waited for room or for its turn
 		switch c.presence() {
 		case departed:
@@ -161,10 +229,17 @@
 	if x.rest != nil {
 		broken = x.rest.left
 	}
+	x.late = time.NewTimer(time.Until(x.answerBy(s.loop.clock)))
+	defer x.late.Stop()
+	if x.rest != nil { // until its body has gone on
+		x.late.Reset(time.Until(x.answerBy(s.loop.clock)) + longestUpload)
+	}
 	s.loop.send(arrival{x})
 	select {
 	case a := <-x.reply:
 		s.answer(w, r, x, a)
+	case <-x.late.C:
+		s.answerLate(w, r, x)
 	case <-r.Context().Done():
 		s.depart(x)
 		x.client.closes(closedByClient)
@@ -178,8 +253,21 @@
 	}
 }
 
+// answerLate answers a request for which the loop has said nothing in its time.
+func (s *server) answerLate(w http.ResponseWriter, r *http.Request, x *clientRequest) {
+	if !x.claim(answeredByHandler) {
+		s.answer(w, r, x, <-x.reply) // it does so just now
+		return
+	}
+	x.leave()
+	s.loop.send(departure{x: x})
+	s.answer(w, r, x, x.lateAnswer())
+}
+
 // depart tells the loop that a request's client has left, and drops an answer that came just then.
 func (s *server) depart(x *clientRequest) {
+	x.leave()
+	x.claim(clientLeft)
 	told := make(chan struct{})
 	s.loop.send(departure{x, told})
 	select {
@@ -382,7 +470,7 @@
 	x.req = policy.Request{ID: id, Class: class.Name, Tenant: h.Get("X-Tenant"), Key: h.Get("X-Key"),
 		Hint: time.Duration(hint) * time.Microsecond, Retry: h.Get("X-Retry") == "1"}
 	x.url, x.host, x.key, x.contentType = r.URL, r.Host, h.Get("Idempotency-Key"), h.Get("Content-Type")
-	x.reply = make(chan answer, 1)
+	x.begin()
 	x.came = s.loop.clock.of(x.client.arrived())
 	return x, 0, ""
 }
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -11,6 +11,8 @@
 	"strings"
 	"time"
 
+	"golang.org/x/sys/unix"
+
 	"cobaltward/internal/invariant"
 	"cobaltward/policy"
 )
@@ -41,6 +43,8 @@
 	outcomes                      map[string]int // of attempts, by code
 	opened                        int            // connections to servers
 	servers                       map[string]*served
+	shedAtDoor                    int64         // requests refused without waiting for the loop
+	mostWaited, mostTook          time.Duration // of the loop's events
 }
 
 // served is what one server made of the attempts that ended since the last summary.
@@ -71,6 +75,36 @@
 	return true
 }
 
+// mayWriteOnce is mayWrite for a reason that has one line a second.
+func (t *trace) mayWriteOnce(now policy.Time, reason string) bool {
+	if now.Truncate(time.Second) == t.second && t.lines[reason] > 0 {
+		t.skipped++
+		return false
+	}
+	return t.mayWrite(now, reason)
+}
+
+// late notes how long an event waited for the loop, and took.
+func (t *trace) late(waited, took time.Duration) {
+	t.mostWaited, t.mostTook = max(t.mostWaited, waited), max(t.mostTook, took)
+}
+
+// shed notes a request that was refused without the module.
+func (t *trace) shed(reason string) {
+	t.arrived++
+	count(&t.refused, reason)
+	t.metrics.countShed(reason)
+}
+
+// processorTime is what the process has used of the processor since it started; 0 where that can't be told.
+func processorTime() time.Duration {
+	var used unix.Rusage
+	if err := unix.Getrusage(unix.RUSAGE_SELF, &used); err != nil {
+		return 0
+	}
+	return time.Duration(used.Utime.Nano() + used.Stime.Nano())
+}
+
 // attempt notes how an attempt ended, with the network's own word where it has one.
 func (t *trace) attempt(now policy.Time, r *request, n int, e result) {
 	a := &r.attempts[n]
@@ -223,10 +257,11 @@
 }
 
 // summary writes the counts since the last one, and what the module goes by.
-func (t *trace) summary(open, clients, evicted int, state string, monitor *invariant.Monitor) {
+func (t *trace) summary(open, clients, evicted, queued int, state string, monitor *invariant.Monitor) {
 	denied, violated := monitor.Counts()
 	slog.Info("summary", "clients", clients, "evicted", evicted, "arrived", t.arrived, "served", t.served, "refused", t.refused, "failed", t.failed,
 		"gone", t.gone, "open", open, "attempts", t.outcomes, "opened", t.opened,
+		"queued", queued, "most_waited", t.mostWaited, "most_took", t.mostTook, "shed_at_door", t.shedAtDoor, "processor_time", processorTime(),
 		"denied", denied, "violations", violated, "lines_left_out", t.skipped, "servers", t.ended(), "module", state)
 	*t = trace{metrics: t.metrics, second: t.second, lines: t.lines}
 }
--- a/internal/node/trace_test.go
+++ b/internal/node/trace_test.go
@@ -45,7 +45,7 @@
 	if log.Len() > 0 {
 		t.Errorf("a served request is logged: %s", log)
 	}
-	tr.summary(2, 0, 0, "state", new(invariant.Monitor))
+	tr.summary(2, 0, 0, 0, "state", new(invariant.Monitor))
 	for _, want := range []string{"served=1", `refused="map[no server has room:1]"`, `attempts="map[connect failed:1 ok:1]"`, "opened=1",
 		`servers="s-a=2/1/6ms[0.25 7]"`} {
 		if !strings.Contains(log.String(), want) {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -5,6 +5,8 @@
 	"bytes"
 	"context"
 	"errors"
+	"maps"
+	"math"
 	"net"
 	"slices"
 	"sync"
@@ -73,9 +75,13 @@
 	pools map[string]*pool
 	rests map[*pool]struct{} // those with idle connections: few, where servers are many
 	at    map[string]string  // the pool's server at each address
-	open  int                // connections, those being made among them
-	most  int                // that may be open: the rest of the descriptors is the clients'
-	free  atomic.Int64       // of them; read without the mutex
+	// By what was heard, whether or not the loop has taken it up: the place of the news that took a server out of
+	// service, and of the newest whole list.
+	stopped    map[string]uint64
+	wholeHeard uint64
+	open       int          // connections, those being made among them
+	most       int          // that may be open: the rest of the descriptors is the clients'
+	free       atomic.Int64 // of them; read without the mutex
 }
 
 // pool holds the idle connections to one process of one server, the last used at the end.
@@ -110,7 +116,7 @@
 		dial:    (&net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1}).DialContext,
 		idleFor: idle / 2, // what is written just as the server closes would end as a reset
 		report:  c.Settings.Report, monitor: new(invariant.Monitor), unasked: newUnaskedCounter(), memory: newMemoryBudget(c.MemoryMB, c.Cores), pools: make(map[string]*pool),
-		rests: make(map[*pool]struct{}), at: make(map[string]string), most: most,
+		rests: make(map[*pool]struct{}), at: make(map[string]string), stopped: make(map[string]uint64), most: most,
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		writers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
 	}
@@ -118,9 +124,44 @@
 	return u
 }
 
-// update follows the list. A server that moved or started anew gets a new pool: what was open to its
+// stopLeaving keeps attempts from servers that drain or are gone by news that has just been heard, before the loop takes
+// it up: an attempt may be under way, and the loop may be late.
+func (u *upstream) stopLeaving(heard heardNews) {
+	u.mu.Lock()
+	defer u.mu.Unlock()
+	stays := make(map[string]bool, len(heard.Members))
+	for _, m := range heard.Members {
+		if stays[m.Server] = m.Availability == policy.Running; stays[m.Server] {
+			continue
+		}
+		u.stopped[m.Server] = heard.place
+		if p := u.pools[m.Server]; p != nil {
+			p.leave()
+		}
+	}
+	if heard.Kind == policy.ListUpdate {
+		return
+	}
+	u.wholeHeard = heard.place
+	for id, p := range u.pools {
+		if !stays[id] {
+			p.leave()
+		}
+	}
+}
+
+// outdated tells whether later news than the given has been heard that may take a server out of service.
+func (u *upstream) outdated(id string, place uint64) bool {
+	return place < u.stopped[id] || place < u.wholeHeard
+}
+
+// update follows a list that is the newest.
+func (u *upstream) update(n discovery.News) { u.follow(heardNews{News: n, place: math.MaxUint64}) }
+
+// follow follows the list. A server that moved or started anew gets a new pool: what was open to its
 // former process is of no use.
-func (u *upstream) update(n discovery.News) {
+func (u *upstream) follow(heard heardNews) {
+	n := heard.News
 	u.mu.Lock()
 	defer u.mu.Unlock()
 	listed := make(map[string]bool, len(n.Members))
@@ -134,9 +175,13 @@
 			u.forget(m.Server)
 			u.take(m)
 		}
+		outdated := u.outdated(m.Server, heard.place)
+		if !outdated {
+			delete(u.stopped, m.Server)
+		}
 		switch p = u.pools[m.Server]; {
 		case p == nil:
-		case m.Availability == policy.Draining:
+		case m.Availability == policy.Draining || outdated:
 			p.leave()
 		case p.leaving.Err() != nil: // it stays after all
 			p.leaving, p.leave = context.WithCancel(context.Background())
@@ -150,6 +195,7 @@
 			u.forget(id)
 		}
 	}
+	maps.DeleteFunc(u.stopped, func(_ string, place uint64) bool { return place <= heard.place })
 }
 
 // take makes a pool for m, unless another server has its address by now: of two at one address the
@@ -482,6 +528,9 @@
 		return
 	case denied == invariant.SendToLeavingServer && err == nil:
 		err = errLeaving
+	case denied == invariant.AttemptAfterDeadline && err == nil: // this process was late, and no server is to blame
+		host.end(result{code: policy.NotSent, err: errTimeUp})
+		return
 	}
 	switch {
 	case (errors.Is(err, errNoSockets) || errors.Is(err, errTooLate)) && ctx.Err() == nil:
@@ -528,7 +577,8 @@
 		ServerUnknown: errors.Is(acquired, errUnknown),
 		ServerLeaving: errors.Is(acquired, errLeaving) || c != nil && u.isLeaving(c.pool),
 		WindowOver:    errors.Is(over, errTooLate),
-		TimeUp:        over != nil && !errors.Is(over, errTooLate),
+		TimeUp: over != nil && !errors.Is(over, errTooLate) ||
+			x.rest == nil && invariant.TimeUp(time.Until(host.until)),
 	})
 }
 
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -173,6 +173,9 @@
 	return r
 }
 
+// Waiting is how many requests wait for a server.
+func (b *Balancer) Waiting() int { return b.queue.len() }
+
 // enqueue lets r wait for a server.
 func (b *Balancer) enqueue(r *request) {
 	r.queued = true
