--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -31,6 +31,9 @@
 	mostShown   = 20 // findings of a run that are printed
 )
 
+// errGrowth is the end of a comparison in which nodes needed more than they may.
+var errGrowth = errors.New("what nodes need grows too far with the servers")
+
 // errBroken is the end of a run in which a rule was broken.
 var errBroken = errors.New("a rule was broken")
 
@@ -40,6 +43,10 @@
 	Duration time.Duration `help:"Of each run." default:"60s"`
 	Nodes    int           `help:"Node processes." default:"24"`
 	Servers  int           `help:"Stand-ins for transcribers." default:"10"`
+	Overload bool          `help:"Servers get more than they can do in time, clients ask again, and a release goes on."`
+	Core     float64       `help:"Part of a core that each node gets in an overload; drawn where none is named."`
+	Growth   bool          `help:"Play each overload with few servers as well, and compare what nodes need (STANDING's table)."`
+	Usual    int           `help:"Servers of that other run." default:"200"`
 	Faults   string        `help:"Play these troubles only, separated by commas." placeholder:"A,B"`
 	Parallel int           `help:"Runs at once." default:"1"`
 	Out      string        `help:"Write the results there, as JSON." placeholder:"FILE"`
@@ -63,7 +70,7 @@
 	if c.Parallel < 1 || c.Parallel > maxParallel {
 		return fmt.Errorf("parallel: want 1 to %d, got %d", maxParallel, c.Parallel)
 	}
-	options := soak.Options{Duration: c.Duration, Nodes: c.Nodes, Servers: c.Servers, Faults: faults}
+	options := soak.Options{Duration: c.Duration, Nodes: c.Nodes, Servers: c.Servers, Faults: faults, Overload: c.Overload || c.Growth, Core: c.Core}
 	if c.Plan {
 		return printPlans(out, options, seeds)
 	}
@@ -129,6 +136,9 @@
 	}
 	all.Wait()
 	err := errors.Join(errs...)
+	if c.Growth && err == nil {
+		err = c.compare(ctx, out, results, dir)
+	}
 	for _, r := range results {
 		if r.Broken() {
 			return results, errors.Join(err, errBroken)
@@ -137,6 +147,28 @@
 	return results, err
 }
 
+// compare plays the same seeds with few servers, and holds what the nodes needed against that.
+func (c command) compare(ctx context.Context, out io.Writer, results []soak.Result, dir string) error {
+	for _, large := range results {
+		o := soak.Options{Seed: large.Plan.Seed, Duration: large.Plan.Duration, Nodes: large.Plan.Nodes, Servers: c.Usual,
+			Overload: true, Core: c.Core}
+		usual, err := soak.Execute(ctx, soak.Settings{Binary: c.Node, Faulty: c.Faulty, Env: c.Env, Options: o,
+			Dir: filepath.Join(dir, fmt.Sprintf("seed-%d-usual", o.Seed))})
+		print(out, o.Seed, usual, err)
+		if err != nil {
+			return err
+		}
+		lines, broken := soak.Growth(usual, large)
+		for _, line := range lines {
+			fmt.Fprintln(out, "  growth:", line)
+		}
+		if broken {
+			return errGrowth
+		}
+	}
+	return nil
+}
+
 func print(out io.Writer, seed uint64, r soak.Result, err error) {
 	if err != nil {
 		fmt.Fprintf(out, "seed %d: %v\n", seed, err)
@@ -146,6 +178,10 @@
 		"%d kB, %d descriptors; %d findings, node violations %v, denials %v\n", seed, len(r.Plan.Troubles), r.Counts.Requests,
 		r.Counts.Statuses, r.Counts.Attempts, r.Counts.Left, r.Counts.Crossed, r.Counts.Died, r.Counts.BadPeers, r.Starts,
 		r.SlowestUp.Round(time.Millisecond), r.MemoryKB, r.Sockets, len(r.Findings), r.Violations, r.Denials)
+	if v := r.Plan.Overload; v != nil {
+		fmt.Fprintf(out, "  overload: %d servers that take %.0f requests a second, %v each, %.2f of a core; needs %+v, slowest answer %v\n",
+			r.Plan.Servers, v.Takes, v.Work, v.Core, r.Usage, r.Counts.Slowest)
+	}
 	for i, f := range r.Findings {
 		if i == mostShown {
 			fmt.Fprintf(out, "  and %d more\n", len(r.Findings)-mostShown)
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -33,10 +33,11 @@
 
 // clientPool plays the clients of all nodes.
 type clientPool struct {
-	judge *Judge
-	ids   atomic.Int64
-	leave atomic.Bool // many close before their answer
-	slow  atomic.Bool // many write in pieces
+	judge   *Judge
+	classes []Class
+	ids     atomic.Int64
+	leave   atomic.Bool // many close before their answer
+	slow    atomic.Bool // many write in pieces
 
 	mu   sync.Mutex
 	rng  *rand.Rand
@@ -50,7 +51,7 @@
 }
 
 func newClientPool(judge *Judge, seed uint64) *clientPool {
-	return &clientPool{judge: judge, rng: rand.New(rand.NewPCG(seed, 3)), idle: make(map[*node][]*clientConn)}
+	return &clientPool{judge: judge, classes: classes, rng: rand.New(rand.NewPCG(seed, 3)), idle: make(map[*node][]*clientConn)}
 }
 
 func (p *clientPool) float() float64 {
@@ -87,7 +88,7 @@
 }
 
 // begin draws a request, and returns it with its text.
-func (p *clientPool) begin(n *node, class Class) (*request, string) {
+func (p *clientPool) begin(n *node, class Class, retry bool) (*request, string) {
 	id := fmt.Sprintf("n%03d-%07d", n.number, p.ids.Add(1))
 	r := p.judge.Begin(id, class, n.number)
 	method, key, body := http.MethodGet, "", ""
@@ -97,12 +98,15 @@
 	if class.Repeat == "guarded" {
 		key = "Idempotency-Key: k-" + id + "\r\n"
 	}
+	if retry {
+		key += retryHeader
+	}
 	return r, fmt.Sprintf("%s /api?of=%s HTTP/1.1\r\nHost: origin.svc\r\nX-Request-Id: %s\r\nX-Class: %s\r\nX-Tenant: t\r\n"+
 		"X-Deadline-Ms: %d\r\n%sContent-Length: %d\r\n\r\n%s", method, id, id, class.Name, class.Deadline.Milliseconds(), key,
 		len(body), body)
 }
 
-func (p *clientPool) class() Class { return classes[min(len(classes)-1, int(p.float()*3.5/2))] }
+func (p *clientPool) class() Class { return p.classes[min(len(p.classes)-1, int(p.float()*3.5/2))] }
 
 // request sends one request to the node, and waits for what becomes of it.
 func (p *clientPool) request(n *node) {
@@ -110,7 +114,7 @@
 	if err != nil {
 		return // nobody has taken anything
 	}
-	r, text := p.begin(n, p.class())
+	r, text := p.begin(n, p.class(), false)
 	if !p.write(c, text) {
 		c.Close()
 		return // not written whole
@@ -198,7 +202,7 @@
 	var all strings.Builder
 	var requests []*request
 	for range 2 + int(p.float()*queueMost) {
-		r, text := p.begin(n, classes[0])
+		r, text := p.begin(n, classes[0], false)
 		requests = append(requests, r)
 		all.WriteString(text)
 	}
@@ -226,7 +230,7 @@
 	if err != nil {
 		return
 	}
-	r, text := p.begin(n, classes[0])
+	r, text := p.begin(n, classes[0], false)
 	if _, err := io.WriteString(c, text); err != nil {
 		c.Close()
 		return
@@ -235,7 +239,7 @@
 	var all strings.Builder
 	requests := []*request{r}
 	for most := int(p.float() * floodMost); all.Len() < most; {
-		r, text := p.begin(n, classes[0])
+		r, text := p.begin(n, classes[0], false)
 		requests = append(requests, r)
 		all.WriteString(text)
 	}
@@ -258,7 +262,7 @@
 	what := "on a new connection"
 	if p.float() < 0.5 {
 		what = "behind an answer"
-		r, text := p.begin(n, classes[0])
+		r, text := p.begin(n, classes[0], false)
 		if _, err := io.WriteString(c, text); err != nil {
 			return
 		}
--- a/internal/soak/fake_node_test.go
+++ b/internal/soak/fake_node_test.go
@@ -98,7 +98,7 @@
 				t.Fatal(err)
 			}
 			defer c.Close()
-			r, text := clients.begin(n, classes[2])
+			r, text := clients.begin(n, classes[2], false)
 			if !clients.write(c, text) {
 				t.Fatal("the request was not written")
 			}
--- a/internal/soak/judge.go
+++ b/internal/soak/judge.go
@@ -77,6 +77,7 @@
 	left     time.Time // the client closed or cancelled; zero: it did not
 	attempts []*attempt
 	answered bool
+	status   int // that it was answered
 }
 
 // attempt is one that came whole to a server.
@@ -100,7 +101,7 @@
 	findings []Finding
 	counts   Counts
 	leaving  map[int]time.Time            // servers that drain or are gone, and since when the registry has that
-	told     map[[2]int]time.Time         // by node and server: when the news was written to it
+	told     map[int]map[int]time.Time    // by server and node: when the news was written to it
 	started  map[int]time.Time            // when a node's process began
 	outage   struct{ from, to time.Time } // of the registry: the last one; to is zero while it lasts
 	cold     map[int]*coldStart
@@ -117,6 +118,8 @@
 	Died     int            `json:"died"`    // with their node's process
 	BadPeers int            `json:"bad_peers"`
 	Troubles map[string]int `json:"troubles"`
+	// Slowest is the time of the slowest answer beyond its client's time; negative if all came within it.
+	Slowest time.Duration `json:"slowest_beyond_time"`
 }
 
 // coldStart is a server's slow start and what it was sent in it.
@@ -130,8 +133,8 @@
 // NewJudge judges a run that begins now.
 func NewJudge(hedging bool) *Judge {
 	return &Judge{begin: time.Now(), hedging: hedging, requests: make(map[string]*request), leaving: make(map[int]time.Time),
-		told: make(map[[2]int]time.Time), started: make(map[int]time.Time), cold: make(map[int]*coldStart),
-		counts: Counts{Statuses: make(map[int]int), Troubles: make(map[string]int)}}
+		told: make(map[int]map[int]time.Time), started: make(map[int]time.Time), cold: make(map[int]*coldStart),
+		counts: Counts{Slowest: math.MinInt64, Statuses: make(map[int]int), Troubles: make(map[string]int)}}
 }
 
 func (j *Judge) find(rule string, r *request, node int, format string, details ...any) {
@@ -179,7 +182,8 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.counts.Statuses[status]++
-	r.answered = true
+	r.answered, r.status = true, status
+	j.counts.Slowest = max(j.counts.Slowest, at.Sub(r.sent)-r.class.Deadline)
 	if late := at.Sub(r.sent) - r.class.Deadline; late > answerGrace+judgeSlack {
 		j.find(ruleLate, r, 0, "answered %d, %v after its time", status, late)
 	}
@@ -290,7 +294,7 @@
 // checkLeaving holds a send to a server that drains or is gone to the time at which the node counts as told: when the
 // news was written to it, and at the latest 6 s after the registry had it and could be reached.
 func (j *Judge) checkLeaving(r *request, a *attempt, since time.Time) {
-	told, known := j.told[[2]int{r.node, a.server}]
+	told, known := j.told[a.server][r.node]
 	if down := j.outage; down.from.IsZero() || !down.to.IsZero() {
 		latest := slices.MaxFunc([]time.Time{since, down.to, j.started[r.node]}, time.Time.Compare).Add(newsLatest)
 		if !known || latest.Before(told) {
@@ -325,7 +329,9 @@
 func (j *Judge) ServerLeaves(server int, at time.Time) {
 	j.mu.Lock()
 	defer j.mu.Unlock()
-	j.leaving[server] = at
+	if _, leaves := j.leaving[server]; !leaves { // one that drained and is gone now was to get nothing before
+		j.leaving[server] = at
+	}
 }
 
 // ServerReturns notes that the registry has a server as up again.
@@ -333,11 +339,7 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	delete(j.leaving, server)
-	for key := range j.told {
-		if key[1] == server {
-			delete(j.told, key)
-		}
-	}
+	delete(j.told, server)
 }
 
 // Told notes that the registry wrote the news of a leaving server to a node.
@@ -347,8 +349,11 @@
 	if _, leaves := j.leaving[server]; !leaves {
 		return
 	}
-	if _, known := j.told[[2]int{node, server}]; !known {
-		j.told[[2]int{node, server}] = at
+	if j.told[server] == nil {
+		j.told[server] = make(map[int]time.Time)
+	}
+	if _, known := j.told[server][node]; !known {
+		j.told[server][node] = at
 	}
 }
 
@@ -357,10 +362,8 @@
 	j.mu.Lock()
 	defer j.mu.Unlock()
 	j.started[node] = at
-	for key := range j.told {
-		if key[0] == node {
-			delete(j.told, key)
-		}
+	for _, nodes := range j.told {
+		delete(nodes, node)
 	}
 }
 
@@ -437,6 +440,17 @@
 	return j.findings, j.counts
 }
 
+// servedPart is the part of all requests that were served, of those that were answered.
+func (j *Judge) servedPart() float64 {
+	j.mu.Lock()
+	defer j.mu.Unlock()
+	all := 0
+	for _, n := range j.counts.Statuses {
+		all += n
+	}
+	return float64(j.counts.Statuses[200]) / float64(max(1, all))
+}
+
 // Struck counts a trouble that was played.
 func (j *Judge) Struck(kind Kind) {
 	j.mu.Lock()
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -32,6 +32,8 @@
 	scrapeTimeout = time.Second
 	standbyNotice = 4 * time.Second // within which a node in standby says no (operators' days)
 	standbyBack   = 2 * time.Second // within which it says yes again
+	statFields    = 13              // of /proc/PID/stat behind the name, up to the system time (proc(5))
+	clockTicks    = 100             // of these a second (USER_HZ)
 )
 
 // process is one process of a node.
@@ -399,6 +401,39 @@
 	return 0
 }
 
+// metric is one of the process's metrics without labels; 0 where it can't be told.
+func (p *process) metric(name string) float64 {
+	client := http.Client{Timeout: scrapeTimeout, Transport: &http.Transport{DisableKeepAlives: true}}
+	resp, err := client.Get("http://" + p.admin + "/metrics")
+	if err != nil {
+		return 0
+	}
+	defer resp.Body.Close()
+	for lines := bufio.NewScanner(resp.Body); lines.Scan(); {
+		if rest, ok := strings.CutPrefix(lines.Text(), name+" "); ok {
+			value, _ := strconv.ParseFloat(rest, 64)
+			return value
+		}
+	}
+	return 0
+}
+
+// processorTime is what the process has used of the processor; 0 where it can't be told.
+func (p *process) processorTime() time.Duration {
+	raw, err := os.ReadFile(fmt.Sprintf("/proc/%d/stat", p.cmd.Process.Pid))
+	if err != nil {
+		return 0
+	}
+	_, rest, _ := strings.Cut(string(raw), ") ") // behind the name, which may hold anything
+	fields := strings.Fields(rest)
+	if len(fields) < statFields {
+		return 0
+	}
+	user, _ := strconv.ParseInt(fields[statFields-2], 10, 64)
+	system, _ := strconv.ParseInt(fields[statFields-1], 10, 64)
+	return time.Duration(user+system) * time.Second / clockTicks
+}
+
 // descriptors is how many the process has open.
 func (p *process) descriptors() int {
 	files, err := os.ReadDir(fmt.Sprintf("/proc/%d/fd", p.cmd.Process.Pid))
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -86,7 +86,9 @@
 	Duration time.Duration
 	Nodes    int
 	Servers  int
-	Faults   []Kind // the only kinds; empty: all
+	Faults   []Kind  // the only kinds; empty: all
+	Overload bool    // servers get more than they can do in time, and a release goes on all the while
+	Core     float64 // part of a core that each node gets in an overload; 0: it is drawn
 }
 
 // Plan is what a seed draws: the same options draw the same plan.
@@ -99,6 +101,7 @@
 	Hedging   bool          `json:"hedging"`   // two attempts of a request may be out at once
 	Rate      float64       `json:"rate"`      // requests a second to each node
 	Troubles  []Trouble     `json:"troubles"`
+	Overload  *Overload     `json:"overload,omitempty"`
 	// Faults are what the nodes are told whose system calls fail and whose clocks are stepped, by their number.
 	Faults map[int]string `json:"faults,omitempty"`
 }
@@ -111,6 +114,7 @@
 	quietTime  = time.Minute     // before some groups, where a run is long
 	longRun    = 3 * time.Minute
 	maxNodes   = 200
+	maxServers = 3200 // each has a listener of its own
 )
 
 // Draw draws the plan of a run. Errors name the option.
@@ -118,8 +122,10 @@
 	switch {
 	case o.Nodes < 1 || o.Nodes > maxNodes:
 		return Plan{}, fmt.Errorf("nodes: want 1 to %d, got %d", maxNodes, o.Nodes)
-	case o.Servers < 2 || o.Servers > maxNodes:
-		return Plan{}, fmt.Errorf("servers: want 2 to %d, got %d", maxNodes, o.Servers)
+	case o.Servers < 2 || o.Servers > maxServers:
+		return Plan{}, fmt.Errorf("servers: want 2 to %d, got %d", maxServers, o.Servers)
+	case o.Core < 0 || o.Core > 1:
+		return Plan{}, fmt.Errorf("core: want 0 to 1, got %v", o.Core)
 	case o.Duration < calmStart+calmEnd:
 		return Plan{}, fmt.Errorf("duration: want %v or more, got %v", calmStart+calmEnd, o.Duration)
 	}
@@ -130,6 +136,12 @@
 	rng := rand.New(rand.NewPCG(o.Seed, 1))
 	p := Plan{Seed: o.Seed, Duration: o.Duration, Nodes: o.Nodes, Servers: o.Servers, Subscribe: rng.IntN(2) == 0,
 		Hedging: rng.IntN(4) == 0, Rate: 10 + 10*rng.Float64()}
+	if o.Overload {
+		// A generator of its own: the plan is the same at each number of servers.
+		p.Rate = overloadRate
+		p.Overload = drawOverload(rand.New(rand.NewPCG(o.Seed, 2)), o, p.Rate)
+		return p, nil
+	}
 	kinds = p.drawFaults(rng, kinds)
 	if len(kinds) == 0 {
 		return p, nil
--- a/internal/soak/registry.go
+++ b/internal/soak/registry.go
@@ -9,6 +9,7 @@
 	"slices"
 	"strconv"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/internal/scale"
@@ -46,6 +47,7 @@
 	fault    fault
 	cut      chan struct{} // closed when open watches are reset
 	servers  []*http.Server
+	written  atomic.Int64 // bytes of lists, to all nodes
 }
 
 func newRegistry(judge *Judge, entries []scale.Entry) *registry {
@@ -91,18 +93,25 @@
 
 // change lists a server anew, with the given phase.
 func (r *registry) change(server int, phase string, upSince int64) {
+	r.changeAll(map[int]string{server: phase}, upSince)
+}
+
+// changeAll lists servers anew in one step, with the given phases. Those that are up have started then; 0: as before.
+func (r *registry) changeAll(phases map[int]string, upSince int64) {
 	r.mu.Lock()
 	defer r.mu.Unlock()
 	r.revision++
-	e := &r.entries[server]
-	e.Phase, r.changes[server], r.removed[server] = phase, r.revision, phase == phaseRemoved
-	if upSince > 0 {
-		e.UpSinceMS = upSince
-	}
-	if phase == phaseUp {
+	for server, phase := range phases {
+		e := &r.entries[server]
+		e.Phase, r.changes[server], r.removed[server] = phase, r.revision, phase == phaseRemoved
+		if phase != phaseUp {
+			r.judge.ServerLeaves(server, time.Now())
+			continue
+		}
+		if upSince > 0 {
+			e.UpSinceMS = upSince
+		}
 		r.judge.ServerReturns(server)
-	} else {
-		r.judge.ServerLeaves(server, time.Now())
 	}
 	close(r.changed)
 	r.changed = make(chan struct{})
@@ -210,6 +219,7 @@
 	if err != nil {
 		panic(fmt.Sprint("registry: ", err)) // its types can always be written
 	}
+	r.written.Add(int64(len(body)))
 	w.Header().Set("Content-Length", strconv.Itoa(len(body)))
 	if _, err := w.Write(body); err != nil || http.NewResponseController(w).Flush() != nil {
 		return
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -50,6 +50,7 @@
 	Sockets    int              `json:"most_descriptors"`
 	SlowestUp  time.Duration    `json:"slowest_ready"`
 	Starts     int              `json:"starts"`
+	Usage      usage            `json:"usage"`
 }
 
 // Broken tells whether a rule was found broken, by the judge or by a node.
@@ -82,6 +83,7 @@
 	defer cancel()
 	r := &Run{settings: s, plan: plan, judge: NewJudge(plan.Hedging), ctx: running, begin: time.Now()}
 	r.clients = newClientPool(r.judge, plan.Seed)
+	r.clients.classes = plan.classes()
 	defer r.close()
 	if err := r.open(); err != nil {
 		return Result{}, err
@@ -98,8 +100,11 @@
 		if err != nil {
 			return err
 		}
+		if v := r.plan.Overload; v != nil {
+			s.workTime, s.takes = v.Work, r.plan.serverCapacity()
+		}
 		r.servers = append(r.servers, s)
-		entries = append(entries, scale.Entry{ID: fmt.Sprintf("s-%03d", i), HostPort: s.addr(), Locality: "a", Flavor: "k",
+		entries = append(entries, scale.Entry{ID: fmt.Sprintf("s-%04d", i), HostPort: s.addr(), Locality: "a", Flavor: "k",
 			Cell: 1, Phase: phaseUp, Size: 1})
 	}
 	r.registry = newRegistry(r.judge, entries)
@@ -155,8 +160,12 @@
 func (r *Run) config(n *node, discovery string, entries []scale.Entry) map[string]any {
 	ms := func(d time.Duration) float64 { return float64(d.Milliseconds()) }
 	var services []map[string]any
-	for _, c := range classes {
-		services = append(services, map[string]any{"name": c.Name, "aim": ms(c.Deadline), "deadline": ms(c.Deadline),
+	for _, c := range r.plan.classes() {
+		aim := c.Deadline
+		if r.plan.Overload != nil {
+			aim = min(aim, overloadAim)
+		}
+		services = append(services, map[string]any{"name": c.Name, "aim": ms(aim), "deadline": ms(c.Deadline),
 			"repeat": c.Repeat, "group": "all", "window": ms(c.Window), "value": 1.0})
 	}
 	mode := "automatic"
@@ -169,8 +178,8 @@
 		"limits": map[string]any{"cores": 1.0, "memory_mb": nodeMemoryMB, "sockets": nodeSockets},
 		"known":  map[string]any{"revision": 1, "complete": true, "members": entries},
 		"settings": map[string]any{
-			"position": n.number, "groupSize": r.plan.Nodes, "zone": "a", "registryMode": mode, "services": services,
-			"tenants": []map[string]any{{"name": "t", "quotaRps": 4 * r.plan.Rate * float64(r.plan.Nodes), "fraction": 1.0}},
+			"position": n.number, "groupSize": r.plan.group(), "zone": "a", "registryMode": mode, "services": services,
+			"tenants": []map[string]any{{"name": "t", "quotaRps": 4 * r.plan.Rate * float64(r.plan.group()), "fraction": 1.0}},
 			"limits": map[string]any{"cancelling": true, "connIdle": 3000.0, "connectTimeout": 250.0, "maxAttempts": 3,
 				"maxOpen": 1000, "maxRetryAfter": 3000.0, "retryAfter": true, "secondCopies": r.plan.Hedging},
 			"guarantees": map[string]any{"cold": ms(coldFor), "coldShare": coldShare, "drainGrace": ms(drainGrace),
@@ -192,6 +201,14 @@
 		parts.Go(func() { r.traffic(ctx, n) })
 	}
 	parts.Go(func() { r.sample(ctx) })
+	if v := r.plan.Overload; v != nil {
+		parts.Go(func() { r.release(ctx) })
+		for _, n := range r.nodes {
+			if v.Core < 1 {
+				parts.Go(func() { r.slices(ctx, n, v.Core) })
+			}
+		}
+	}
 	for _, t := range r.plan.Troubles {
 		select {
 		case <-time.After(time.Until(r.begin.Add(t.At))):
@@ -223,11 +240,20 @@
 			return
 		}
 		if n.takesClients() {
-			open.Go(func() { r.clients.request(n) })
+			open.Go(func() { r.send(n) })
 		}
 	}
 }
 
+// send has a client of a node send one request.
+func (r *Run) send(n *node) {
+	if r.plan.Overload != nil {
+		r.clients.persist(n)
+	} else {
+		r.clients.request(n)
+	}
+}
+
 // sample keeps the most that any process takes.
 func (r *Run) sample(ctx context.Context) {
 	tick := time.NewTicker(sampleEvery)
@@ -396,6 +422,7 @@
 			}
 		}
 	}
+	res.Usage = r.measure()
 	cancel()
 	var all sync.WaitGroup
 	for _, n := range r.nodes {
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -29,12 +29,16 @@
 	// closesAfterAnswer has each connection serve one request.
 	closesAfterAnswer bool
 
-	kind   atomic.Value // of Kind: how it misbehaves now
-	inWork atomic.Int64
-	mu     sync.Mutex
-	rng    *rand.Rand
-	conns  map[*serverConn]bool
-	recent []time.Time // of the last second, for its reports
+	workTime time.Duration // of each request; 0: drawn
+	takes    float64       // requests a second, others are turned away; 0: any
+
+	kind     atomic.Value // of Kind: how it misbehaves now
+	inWork   atomic.Int64
+	mu       sync.Mutex
+	rng      *rand.Rand
+	conns    map[*serverConn]bool
+	recent   []time.Time // of the last second, for its reports
+	admitted time.Time   // when it last took a request
 }
 
 func newServer(number int, judge *Judge, seed uint64) (*server, error) {
@@ -167,6 +171,14 @@
 	defer s.inWork.Add(-1)
 	chance, work := s.draw()
 	kind := s.now()
+	if s.workTime > 0 {
+		work = s.workTime
+	}
+	if !s.admits(s.takes) {
+		s.judge.AttemptEnded(a, time.Now(), true)
+		_, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
+		return err == nil
+	}
 	if kind == ServerLate {
 		work += lateWork
 	}
