Judge slow starts by who had been told, and let all servers of an overload share what they take

Cause: in the first overloads each server took one request in many seconds, and nodes that had not been told of a start were held to it.

--- a/internal/soak/overload.go
+++ b/internal/soak/overload.go
@@ -15,7 +15,7 @@
 	Group int `json:"group"`
 	// Work is what a request takes at a server. Where it is longer than the clients' aim, every answer is late.
 	Work time.Duration `json:"work"`
-	// Takes is how many requests a second all servers take together; they turn others away unseen.
+	// Takes is how many requests a second all servers take together, whatever their number; they turn others away unseen.
 	Takes float64 `json:"takes"`
 	// Core is the part of a core that each node gets, in slices; 0: a whole one.
 	Core float64 `json:"core"`
@@ -26,10 +26,12 @@
 const (
 	overloadGroup  = 300
 	overloadRate   = 60.0                   // requests a second to each node
+	takesBurst     = 20                     // requests that they take at once
 	overloadFactor = 2.5                    // times what servers take that clients ask for
 	slowWork       = 900 * time.Millisecond // longer than any aim
 	overloadAim    = 300 * time.Millisecond // of every class
 	releaseEvery   = 900 * time.Millisecond // between two steps of a release
+	releasesApart  = 20 * time.Second       // between two releases
 	releasePart    = 0.12                   // of the servers in each
 	slicePeriod    = 30 * time.Millisecond  // in which a node runs once, for its part of a core
 	leastCore      = 0.05                   // part of a core
@@ -77,14 +79,6 @@
 	return p.Nodes
 }
 
-// serverCapacity is how many requests a second a warm server takes.
-func (p Plan) serverCapacity() float64 {
-	if p.Overload != nil {
-		return p.Overload.Takes / float64(p.Servers)
-	}
-	return warmCapacity
-}
-
 // slices lets a node's processes run for a part of the time only, until ctx ends: less than 0.15 s pass between two turns.
 func (r *Run) slices(ctx context.Context, n *node, part float64) {
 	run := time.Duration(part * float64(slicePeriod))
@@ -104,41 +98,39 @@
 	}
 }
 
-// release replaces servers step by step until ctx ends: a part of them drains, is gone with the next step, and is up again and
-// cold with the one after. It takes the servers in turn.
+// releases replaces all servers step by step, again and again until ctx ends.
+func (r *Run) releases(ctx context.Context) {
+	for r.pause(ctx, calmStart); ctx.Err() == nil; r.pause(ctx, releasesApart) {
+		r.release(ctx)
+	}
+}
+
+// release replaces all servers in turn: a part of them drains, is gone with the next step, and is up again and cold with the
+// one after.
 func (r *Run) release(ctx context.Context) {
 	step := max(1, int(r.plan.Overload.ReleasePart*float64(len(r.servers))))
-	from := func(i int) (all []int) {
-		for k := range step {
-			all = append(all, (i*step+k)%len(r.servers))
-		}
-		return all
-	}
-	for i := 0; ; i++ {
+	for at := 0; at < len(r.servers)+2*step && ctx.Err() == nil; at += step {
 		now := time.Now()
 		news := make(map[int]string)
-		if i >= 2 {
-			for _, s := range from(i - 2) {
-				r.judge.ColdStart(s, r.plan.serverCapacity(), now)
-				news[s] = phaseUp
-			}
-		}
-		if i >= 1 {
-			for _, s := range from(i - 1) {
-				news[s] = phaseRemoved
-			}
-		}
-		for _, s := range from(i) {
-			news[s] = phaseDraining
+		r.phase(news, at, step, phaseDraining)
+		r.phase(news, at-step, step, phaseRemoved)
+		for _, s := range r.phase(news, at-2*step, step, phaseUp) {
+			r.judge.ColdStart(s, warmCapacity, now)
 		}
 		r.registry.changeAll(news, now.UnixMilli())
 		r.pause(ctx, releaseEvery)
-		if ctx.Err() != nil {
-			return
-		}
 	}
 }
 
+// phase gives the servers of one step of a release a phase, and returns them.
+func (r *Run) phase(news map[int]string, at, step int, phase string) (servers []int) {
+	for s := max(0, at); s < min(at+step, len(r.servers)); s++ {
+		news[s] = phase
+		servers = append(servers, s)
+	}
+	return servers
+}
+
 // persist sends one request and, while it is refused or fails where that is harmless, sends it again, until the client's
 // time is over.
 func (p *clientPool) persist(n *node) {
@@ -188,21 +180,6 @@
 	return r.status
 }
 
-// admits tells whether a server that takes so many requests a second takes one more now.
-func (s *server) admits(takes float64) bool {
-	if takes <= 0 {
-		return true
-	}
-	s.mu.Lock()
-	defer s.mu.Unlock()
-	now := time.Now()
-	if now.Sub(s.admitted).Seconds() < 1/takes {
-		return false
-	}
-	s.admitted = now
-	return true
-}
-
 // usage is what a node's processes have needed, for the check of growth.
 type usage struct {
 	ProcessorTime time.Duration `json:"processor_time"` // of the nodes, each in the mean
--- a/internal/soak/registry.go
+++ b/internal/soak/registry.go
@@ -202,12 +202,15 @@
 		Complete bool          `json:"complete"`
 		Members  []scale.Entry `json:"members"`
 	}{r.revision, index < 0, []scale.Entry{}}
-	var left []int
+	var left, started []int
 	for i, e := range r.entries {
 		if index >= 0 && r.changes[i] <= index || index < 0 && r.removed[i] {
 			continue
 		}
 		list.Members = append(list.Members, e)
+		if e.UpSinceMS > 0 && e.Phase == phaseUp {
+			started = append(started, i)
+		}
 	}
 	for i, e := range r.entries {
 		if e.Phase != phaseUp && (index < 0 || r.changes[i] > index) {
@@ -227,4 +230,7 @@
 	for _, server := range left {
 		r.judge.Told(node, server, time.Now())
 	}
+	for _, server := range started {
+		r.judge.ToldStart(node, server, time.Now())
+	}
 }
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -14,6 +14,8 @@
 	"syscall"
 	"time"
 
+	"golang.org/x/time/rate"
+
 	"cobaltward/internal/faultpoint"
 	"cobaltward/internal/scale"
 )
@@ -95,13 +97,17 @@
 // open starts the stand-ins and the nodes, and waits until all nodes are ready.
 func (r *Run) open() error {
 	var entries []scale.Entry
+	takes := rate.NewLimiter(rate.Inf, 0)
+	if v := r.plan.Overload; v != nil {
+		takes = rate.NewLimiter(rate.Limit(v.Takes), takesBurst)
+	}
 	for i := range r.plan.Servers {
 		s, err := newServer(i, r.judge, r.plan.Seed)
 		if err != nil {
 			return err
 		}
 		if v := r.plan.Overload; v != nil {
-			s.workTime, s.takes = v.Work, r.plan.serverCapacity()
+			s.workTime, s.takes = v.Work, takes
 		}
 		r.servers = append(r.servers, s)
 		entries = append(entries, scale.Entry{ID: fmt.Sprintf("s-%04d", i), HostPort: s.addr(), Locality: "a", Flavor: "k",
@@ -202,7 +208,7 @@
 	}
 	parts.Go(func() { r.sample(ctx) })
 	if v := r.plan.Overload; v != nil {
-		parts.Go(func() { r.release(ctx) })
+		parts.Go(func() { r.releases(ctx) })
 		for _, n := range r.nodes {
 			if v.Core < 1 {
 				parts.Go(func() { r.slices(ctx, n, v.Core) })
--- a/internal/soak/server.go
+++ b/internal/soak/server.go
@@ -11,6 +11,8 @@
 	"sync"
 	"sync/atomic"
 	"time"
+
+	"golang.org/x/time/rate"
 )
 
 const (
@@ -30,15 +32,14 @@
 	closesAfterAnswer bool
 
 	workTime time.Duration // of each request; 0: drawn
-	takes    float64       // requests a second, others are turned away; 0: any
+	takes    *rate.Limiter // what all servers take together, others are turned away
 
-	kind     atomic.Value // of Kind: how it misbehaves now
-	inWork   atomic.Int64
-	mu       sync.Mutex
-	rng      *rand.Rand
-	conns    map[*serverConn]bool
-	recent   []time.Time // of the last second, for its reports
-	admitted time.Time   // when it last took a request
+	kind   atomic.Value // of Kind: how it misbehaves now
+	inWork atomic.Int64
+	mu     sync.Mutex
+	rng    *rand.Rand
+	conns  map[*serverConn]bool
+	recent []time.Time // of the last second, for its reports
 }
 
 func newServer(number int, judge *Judge, seed uint64) (*server, error) {
@@ -46,7 +47,7 @@
 	if err != nil {
 		return nil, err
 	}
-	s := &server{number: number, judge: judge, ln: ln, rng: rand.New(rand.NewPCG(seed, uint64(1000+number))),
+	s := &server{number: number, judge: judge, ln: ln, takes: rate.NewLimiter(rate.Inf, 0), rng: rand.New(rand.NewPCG(seed, uint64(1000+number))),
 		conns: make(map[*serverConn]bool)}
 	s.kind.Store(Kind(""))
 	go s.run()
@@ -174,7 +175,7 @@
 	if s.workTime > 0 {
 		work = s.workTime
 	}
-	if !s.admits(s.takes) {
+	if !s.takes.Allow() {
 		s.judge.AttemptEnded(a, time.Now(), true)
 		_, err := io.WriteString(c, "HTTP/1.1 503 Service Unavailable\r\nX-Not-Run: 1\r\nContent-Length: 0\r\n\r\n")
 		return err == nil
