--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -99,6 +99,7 @@
 	}
 	s.inflight++
 	s.use(b.now)
+	b.touch(s)
 	s.lastSend = b.now
 	s.cold.tokens--
 	b.refresh(s)
--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -27,6 +27,7 @@
 		b.ranked = append(b.ranked, &class{Class: c, index: i, tail: c.Aim / 2})
 		b.classes[c.Name] = b.ranked[i]
 		b.bind(b.ranked[i])
+		b.longest = max(b.longest, c.Deadline)
 	}
 	b.other = set.Limits.Default
 	for _, t := range set.Tenants { // a tenant that nobody agreed a share with counts as the smallest
--- a/policy/index.go
+++ b/policy/index.go
@@ -301,6 +301,10 @@
 	}
 	b.quit(s.group)
 	delete(b.servers, s.Server)
+	if s.usedAt != nil {
+		b.used.Remove(s.usedAt)
+		s.usedAt = nil
+	}
 }
 
 // enter brings a server into service, with the place, the group and the health that it has now.
--- a/policy/outcomes.go
+++ b/policy/outcomes.go
@@ -29,6 +29,9 @@
 	r.settle()
 	b.observe(r, a, e)
 	b.refresh(a.server)
+	if !a.server.gone {
+		b.touch(a.server)
+	}
 	switch {
 	case e.Ended || r.ended || e.Code == OK:
 		b.end(r)
--- a/policy/state.go
+++ b/policy/state.go
@@ -1,11 +1,13 @@
 package policy
 
 import (
+	"container/list"
 	"fmt"
 	"hash/fnv"
 	"maps"
 	"math"
 	"math/rand/v2"
+	"slices"
 	"strings"
 	"time"
 )
@@ -49,6 +51,8 @@
 	restored   map[string]ServerMemory // by the process before, of servers not listed yet
 	succeeds   bool                    // a process of this node came before, and was alive at the start
 	silent     [6]float64              // part of sends unanswered, by how long the connection was idle, in octaves
+	longest    time.Duration           // deadline of any class
+	used       list.List               // of the *server that were ever sent anything, the last used in front
 	index
 }
 
@@ -74,6 +78,7 @@
 	own           bool           // of this node's zone, when it last came into service
 	felt          bool           // the threshold was cut at least once
 	used          []Time         // when so many connections were last in use
+	usedAt        *list.Element  // among those used; nil: it was sent nothing
 	lastSend      Time
 	takes         float64 // requests a second that it takes while cold, by its last report; 0 if not known
 	lastDone      Time    // when it last answered anything
@@ -176,31 +181,68 @@
 	var t strings.Builder
 	fmt.Fprintf(&t, "pace=%.2f bad=%.2f full=%.2f lost=%.2f blame=%.2f held=%d extra=%d", b.pace, b.bad,
 		b.fullPart, b.lost, b.blame, b.queue.len(), len(b.extra))
-	told, idle, more, out := 0, 0, 0, 0
-	for s := range b.walk(&b.fleet) {
-		switch {
-		case b.fleet.len() <= mostTold:
-		case s.inflight == 0 && !s.health.out && (s.lastDone == 0 || b.now-s.lastDone > usedFor):
-			idle++
-			continue
-		case told == mostTold:
-			if more++; s.health.out {
-				out++
-			}
-			continue
-		}
-		told++
+	told, busy := b.notable()
+	out := b.fleet.ejected
+	for _, s := range told {
 		fmt.Fprintf(&t, " %s=%d/%.1f", s.Server, s.inflight, b.limit(s))
 		if s.health.out {
 			t.WriteString("/out")
+			out--
 		}
 	}
-	if b.fleet.len() > told {
-		fmt.Fprintf(&t, " left_out=%d idle=%d out=%d", idle+more, idle, out)
+	if left := b.fleet.len() - len(told); left > 0 {
+		fmt.Fprintf(&t, " left_out=%d idle=%d out=%d", left, left-out-busy, out)
 	}
 	return t.String()
 }
 
+// notable returns the servers that the log is told of, in packing order, and how many more are in use and not ejected. It looks at
+// no more of them than were in use lately, and than are told.
+func (b *Balancer) notable() (told []*server, more int) {
+	if b.fleet.len() <= mostTold {
+		return slices.Collect(b.walk(&b.fleet)), 0
+	}
+	for e := b.used.Front(); e != nil; e = e.Next() {
+		s := e.Value.(*server)
+		recent := b.now-max(s.lastSend, s.lastDone) <= usedFor
+		switch {
+		case !recent && b.now-s.lastSend > b.longest: // as are all behind it, and they have no attempts out
+			return b.withEjected(told), more
+		case !s.in || s.health.out || s.inflight == 0 && (s.lastDone == 0 || b.now-s.lastDone > usedFor):
+		case len(told) < mostTold:
+			told = append(told, s)
+		default:
+			more++
+		}
+	}
+	return b.withEjected(told), more
+}
+
+// withEjected adds ejected servers while there is room, and sorts all by the packing order.
+func (b *Balancer) withEjected(told []*server) []*server {
+	for _, p := range []*part{&b.fleet.own, &b.fleet.others} {
+		for i := range p.ejected {
+			p.ejected[i].each(nil, func(s *server) bool {
+				if len(told) < mostTold {
+					told = append(told, s)
+				}
+				return len(told) < mostTold
+			})
+		}
+	}
+	slices.SortFunc(told, b.packed)
+	return told
+}
+
+// touch notes that s is in use.
+func (b *Balancer) touch(s *server) {
+	if s.usedAt == nil {
+		s.usedAt = b.used.PushFront(s)
+	} else {
+		b.used.MoveToFront(s.usedAt)
+	}
+}
+
 // doneRate is how many answers a second came lately.
 func (b *Balancer) doneRate() float64 {
 	return b.done * math.Exp(-(b.now-b.doneAt).Seconds()/doneSpan.Seconds())
--- a/policy/state_test.go
+++ b/policy/state_test.go
@@ -141,10 +141,13 @@
 	if got := b.String(); !strings.HasSuffix(got, " extra=0 left_out=39000 idle=39000 out=0") {
 		t.Errorf("with nothing to do: %s", got)
 	}
-	b.order()[10000].inflight = 2
-	b.order()[20000].health.out = true
+	b.order()[10000].inflight, b.order()[10000].lastSend = 2, b.now
+	b.setOut(b.order()[20000], true)
 	b.order()[30000].lastDone = b.now - usedFor
 	b.order()[30001].lastDone = b.now - usedFor - 1
+	for _, i := range []int{30001, 30000, 10000} {
+		b.touch(b.order()[i])
+	}
 	got := b.String()
 	for i, want := range map[int]string{10000: "=2/6.0 ", 20000: "=0/6.0/out ", 30000: "=0/6.0 "} {
 		if !strings.Contains(got, " "+b.order()[i].Server+want) {
@@ -155,9 +158,13 @@
 		t.Errorf("the end is %q", got[max(0, len(got)-80):])
 	}
 	for _, s := range b.order() {
-		s.health.out = true
+		b.setOut(s, true)
 	}
+	looked := *b.visits
 	got = b.String()
+	if looked = *b.visits - looked; looked > 4*mostTold {
+		t.Errorf("the line looks at %d entries", looked)
+	}
 	if n := strings.Count(got, "/out"); n != mostTold || len(got) > 30*mostTold {
 		t.Errorf("%d servers in %d bytes, want %d", n, len(got), mostTold)
 	}
