--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -21,6 +21,7 @@
 const (
 	handoverVersion = 1
 	snapshotEvery   = 250 * time.Millisecond // what a successor should know is written
+	snapshotApart   = 50                     // times what writing one takes
 	snapshotFor     = 3 * time.Second        // and holds
 	followEvery     = 50 * time.Millisecond  // looks at the other process while there are two
 	maxHandover     = 4 << 20                // bytes of it
--- a/internal/node/scale_test.go
+++ b/internal/node/scale_test.go
@@ -124,7 +124,7 @@
 				if !u.evict() || u.open != before-1 {
 					t.Fatal("nothing was evicted")
 				}
-				for p := range u.rests {
+				for _, p := range u.rests {
 					if !p.idle[0].used.After(oldest) {
 						t.Fatal("another one than the oldest was evicted")
 					}
@@ -138,7 +138,7 @@
 		for _, p := range u.pools {
 			if len(p.idle) > 0 {
 				resting++
-				if _, ok := u.rests[p]; !ok {
+				if p.restsAt == 0 || u.rests[p.restsAt-1] != p {
 					t.Fatalf("step %d: a pool that rests is not looked at", i)
 				}
 			}
--- a/internal/node/shared.go
+++ b/internal/node/shared.go
@@ -22,10 +22,11 @@
 	clientSockets, serverSockets int // of a process that is alone
 	ownSockets                   int // what each needs for itself
 
-	heard   int64 // the revision of its list that was last taken over
-	halved  bool
-	wrote   time.Time
-	failing bool // the last write did
+	heard     int64 // the revision of its list that was last taken over
+	halved    bool
+	wrote     time.Time
+	writeTook time.Duration // the last snapshot, with its way to the file
+	failing   bool          // the last write did
 }
 
 // joinLater enters the folder once it works again, and shares the limits from then on. Until then the process holds to
@@ -88,8 +89,9 @@
 		s.clients.bound(s.clientSockets)
 		s.up.bound(s.serverSockets)
 	}
-	if next || now.Sub(s.wrote) >= snapshotEvery {
+	if next || now.Sub(s.wrote) >= s.writeAfter() {
 		s.wrote = now
+		defer func() { s.writeTook = time.Since(now) }()
 		if err := s.write(s.snapshot(now)); err != nil {
 			if !s.failing {
 				slog.Warn("handover: nothing is left to a successor", "err", err)
@@ -101,6 +103,12 @@
 	}
 }
 
+// writeAfter is how long after a snapshot the next one is written: the more servers and tenants there are, the longer one takes, and
+// all together may take a small part of the time. A snapshot is of use for snapshotFor.
+func (s *shared) writeAfter() time.Duration {
+	return min(snapshotFor/2, max(snapshotEvery, snapshotApart*s.writeTook))
+}
+
 // giveWay keeps an old process to what it has open: to half until it is told to end, and from then on
 // to what its clients still need.
 func (s *shared) giveWay() {
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -3,6 +3,7 @@
 import (
 	"bufio"
 	"bytes"
+	"container/heap"
 	"context"
 	"errors"
 	"maps"
@@ -73,8 +74,8 @@
 
 	mu    sync.Mutex
 	pools map[string]*pool
-	rests map[*pool]struct{} // those with idle connections: few, where servers are many
-	at    map[string]string  // the pool's server at each address
+	rests idlePools         // those with idle connections: few, where servers are many
+	at    map[string]string // the pool's server at each address
 	// By what was heard, whether or not the loop has taken it up: the place of the news that took a server out of
 	// service, and of the newest whole list.
 	stopped    map[string]uint64
@@ -92,6 +93,7 @@
 	unasked time.Time       // when its server last sent what nobody had asked for; zero: never
 	leaving context.Context // ends when nothing new may go there any more
 	leave   context.CancelFunc
+	restsAt int // place among those with idle connections, from 1; 0: it has none
 }
 
 func newPool(m discovery.Member) *pool {
@@ -116,7 +118,7 @@
 		dial:    (&net.Dialer{Timeout: c.ConnectTimeout, KeepAlive: -1}).DialContext,
 		idleFor: idle / 2, // what is written just as the server closes would end as a reset
 		report:  c.Settings.Report, monitor: new(invariant.Monitor), unasked: newUnaskedCounter(), memory: newMemoryBudget(c.MemoryMB, c.Cores), pools: make(map[string]*pool),
-		rests: make(map[*pool]struct{}), at: make(map[string]string), stopped: make(map[string]uint64), most: most,
+		at: make(map[string]string), stopped: make(map[string]uint64), most: most,
 		readers: sync.Pool{New: func() any { return bufio.NewReader(nil) }},
 		writers: sync.Pool{New: func() any { return new(bytes.Buffer) }},
 	}
@@ -238,13 +240,46 @@
 // setIdle has p keep these connections idle. Sweeps and evictions look at pools that have any and no others: a walk
 // over all servers would hold the mutex, and with it every request, for milliseconds where they are tens of thousands.
 func (u *upstream) setIdle(p *pool, idle []*conn) {
-	if p.idle = idle; len(idle) > 0 {
-		u.rests[p] = struct{}{}
+	if len(idle) == 0 {
+		if p.restsAt > 0 {
+			heap.Remove(&u.rests, p.restsAt-1)
+		}
+		p.idle = idle
+		return
+	}
+	if p.idle = idle; p.restsAt > 0 {
+		heap.Fix(&u.rests, p.restsAt-1)
 	} else {
-		delete(u.rests, p)
+		heap.Push(&u.rests, p)
 	}
 }
 
+// idlePools is a heap of pools by when their connection was last used that is idle longest, so that room for another
+// connection is found without a look at all of them.
+type idlePools []*pool
+
+func (h idlePools) Len() int           { return len(h) }
+func (h idlePools) Less(i, j int) bool { return h[i].idle[0].used.Before(h[j].idle[0].used) }
+func (h idlePools) Swap(i, j int) {
+	h[i], h[j] = h[j], h[i]
+	h[i].restsAt, h[j].restsAt = i+1, j+1
+}
+
+// Push adds a pool, for container/heap.
+func (h *idlePools) Push(p any) {
+	*h = append(*h, p.(*pool))
+	p.(*pool).restsAt = len(*h)
+}
+
+// Pop takes the last pool out, for container/heap.
+func (h *idlePools) Pop() any {
+	last := len(*h) - 1
+	p := (*h)[last]
+	(*h)[last] = nil
+	*h, p.restsAt = (*h)[:last], 0
+	return p
+}
+
 // trim closes the n connections of p that were idle longest.
 func (u *upstream) trim(p *pool, n int) {
 	for _, c := range p.idle[:n] {
@@ -267,7 +302,7 @@
 func (u *upstream) sweep(now time.Time) {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	for p := range u.rests {
+	for _, p := range slices.Clone(u.rests) {
 		var kept []*conn
 		for _, c := range p.idle {
 			if now.Sub(c.used) < u.idleFor && u.isQuiet(c, now) {
@@ -420,16 +455,10 @@
 
 // evict closes the connection that was idle longest, if there is one.
 func (u *upstream) evict() bool {
-	var oldest *pool
-	for p := range u.rests {
-		if oldest == nil || p.idle[0].used.Before(oldest.idle[0].used) {
-			oldest = p
-		}
-	}
-	if oldest == nil {
+	if len(u.rests) == 0 {
 		return false
 	}
-	u.trim(oldest, 1)
+	u.trim(u.rests[0], 1)
 	return true
 }
 
