--- a/cmd/soak/main.go
+++ b/cmd/soak/main.go
@@ -70,7 +70,7 @@
 	if c.Parallel < 1 || c.Parallel > maxParallel {
 		return fmt.Errorf("parallel: want 1 to %d, got %d", maxParallel, c.Parallel)
 	}
-	options := soak.Options{Duration: c.Duration, Nodes: c.Nodes, Servers: c.Servers, Faults: faults, Overload: c.Overload || c.Growth, Core: c.Core}
+	options := soak.Options{Duration: c.Duration, Nodes: c.Nodes, Servers: c.Servers, Faults: faults, Overload: c.Overload || c.Growth, Core: c.Core, Calm: c.Growth}
 	if c.Plan {
 		return printPlans(out, options, seeds)
 	}
@@ -151,7 +151,7 @@
 func (c command) compare(ctx context.Context, out io.Writer, results []soak.Result, dir string) error {
 	for _, large := range results {
 		o := soak.Options{Seed: large.Plan.Seed, Duration: large.Plan.Duration, Nodes: large.Plan.Nodes, Servers: c.Usual,
-			Overload: true, Core: c.Core}
+			Overload: true, Core: c.Core, Calm: true}
 		usual, err := soak.Execute(ctx, soak.Settings{Binary: c.Node, Faulty: c.Faulty, Env: c.Env, Options: o,
 			Dir: filepath.Join(dir, fmt.Sprintf("seed-%d-usual", o.Seed))})
 		print(out, o.Seed, usual, err)
--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -21,6 +21,7 @@
 	queueMost  = 12        // requests that a client sends at once
 	idleMost   = 300       // idle connections to one node, more than it has descriptors
 	floodMost  = 300 << 10 // bytes behind a request
+	briefPart  = 0.2       // of the requests, whose clients wait for less than the class allows
 	pieceWait  = 100 * time.Millisecond
 )
 
@@ -68,7 +69,7 @@
 	return &clientConn{Conn: c, in: bufio.NewReader(c)}, nil
 }
 
-// take returns a connection to the node: one at rest, or a new one.
+// take returns a connection to the node: one at rest, or a new one, if the front sends clients there; else nil.
 func (p *clientPool) take(n *node) (*clientConn, error) {
 	p.mu.Lock()
 	if rest := p.idle[n]; len(rest) > 0 {
@@ -78,6 +79,9 @@
 		return c, nil
 	}
 	p.mu.Unlock()
+	if !n.takesClients() {
+		return nil, nil
+	}
 	return dial(n)
 }
 
@@ -111,10 +115,14 @@
 // request sends one request to the node, and waits for what becomes of it.
 func (p *clientPool) request(n *node) {
 	c, err := p.take(n)
-	if err != nil {
+	if c == nil || err != nil {
 		return // nobody has taken anything
 	}
-	r, text := p.begin(n, p.class(), false)
+	class := p.class()
+	if p.float() < briefPart { // as a retry that has used up most of its client's time
+		class.Deadline = leastTry + time.Duration(p.float()*float64(class.Deadline-leastTry)).Truncate(time.Millisecond)
+	}
+	r, text := p.begin(n, class, false)
 	if !p.write(c, text) {
 		c.Close()
 		return // not written whole
--- a/internal/soak/fake_node_test.go
+++ b/internal/soak/fake_node_test.go
@@ -92,7 +92,7 @@
 					go fake.serve(c)
 				}
 			}()
-			clients, n := newClientPool(j, 1), &node{number: 4, listen: ln.Addr().String()}
+			clients, n := newClientPool(j, 1), &node{number: 4, listen: ln.Addr().String(), ready: true}
 			c, err := clients.take(n)
 			if err != nil {
 				t.Fatal(err)
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -190,7 +190,7 @@
 
 // An overload is the same at each number of servers but for these, and what nodes needed is held against the table.
 func TestOverloadsAreComparedBySize(t *testing.T) {
-	o := Options{Seed: 7, Duration: time.Minute, Nodes: 3, Servers: 3200, Overload: true}
+	o := Options{Seed: 7, Duration: time.Minute, Nodes: 3, Servers: 3200, Overload: true, Calm: true}
 	large, err := Draw(o)
 	if err != nil {
 		t.Fatal(err)
@@ -223,3 +223,18 @@
 		}
 	}
 }
+
+// Every plan of some length has a drain and a slow start.
+func TestLongPlansHaveADrainAndASlowStart(t *testing.T) {
+	for seed := range uint64(100) {
+		p, err := Draw(Options{Seed: seed, Duration: leastRun, Nodes: 24, Servers: 10})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, kind := range []Kind{ServerDrain, ServerCold} {
+			if !slices.ContainsFunc(p.Troubles, func(t Trouble) bool { return t.Kind == kind }) {
+				t.Errorf("seed %d has no %s", seed, kind)
+			}
+		}
+	}
+}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -23,8 +23,9 @@
 	readyPoll     = 50 * time.Millisecond
 	readyLatest   = 30 * time.Second
 	readyUpgrade  = 6 * time.Second
-	killSlack     = 700 * time.Millisecond // after the longest deadline SIGKILL follows SIGTERM
-	longestSpan   = 3 * time.Second        // that counts as the longest deadline, at least
+	killSlack     = 700 * time.Millisecond // after the longest deadline SIGKILL may follow SIGTERM
+	longestSpan   = 3 * time.Second        // that counts as the longest deadline, at most
+	signalsApart  = 50 * time.Millisecond  // between two of a series
 	inheritedFD   = 5
 	frontDrops    = 200 * time.Millisecond // between a no and the end of new connections
 	nodeMemoryMB  = 64
@@ -261,11 +262,20 @@
 // end tells a process to end, and waits for that as long as the platform does.
 func (n *node) end(p *process) {
 	p.told.Store(true)
-	n.signal(p, syscall.SIGTERM)
+	most := n.run.plan.longestDeadline() + killSlack
+	late := time.After(most)
+	for _, s := range []syscall.Signal{syscall.SIGTERM, syscall.SIGHUP, syscall.SIGTERM} { // signals come in series
+		n.signal(p, s)
+		select {
+		case <-p.ended:
+			return
+		case <-time.After(signalsApart):
+		}
+	}
 	select {
 	case <-p.ended:
-	case <-time.After(longestSpan + killSlack):
-		n.run.judge.Find(ruleNotEnded, n.number, "runs %v after SIGTERM", longestSpan+killSlack)
+	case <-late:
+		n.run.judge.Find(ruleNotEnded, n.number, "runs %v after SIGTERM", most)
 		n.kill(p)
 	}
 }
--- a/internal/soak/overload.go
+++ b/internal/soak/overload.go
@@ -49,6 +49,19 @@
 	{Name: "bill", Repeat: "single_shot", Deadline: time.Second},
 }
 
+// overloadKinds are the troubles that are played in an overload, beside its releases.
+var overloadKinds = []Kind{NodeTerm, NodeKill, NodeReload, RegistryDown, RegistryMute, RegistrySlow, RegistryCut, ServerHang,
+	ServerReset, ServerForget, ServerErrors, ServerPieces, ClientsIdle}
+
+// longestDeadline is the longest of a plan's classes, as the platform counts it at a planned restart (PROTOCOL).
+func (p Plan) longestDeadline() time.Duration {
+	longest := time.Duration(0)
+	for _, c := range p.classes() {
+		longest = max(longest, c.Deadline)
+	}
+	return min(longest, longestSpan)
+}
+
 // drawOverload draws an overload.
 func drawOverload(rng *rand.Rand, o Options, rate float64) *Overload {
 	v := &Overload{Group: overloadGroup, ReleasePart: releasePart, Work: meanWork}
@@ -153,7 +166,7 @@
 // try sends one try of a request, and returns its status; 0: it was not answered.
 func (p *clientPool) try(n *node, class Class, waits time.Duration, retry bool) int {
 	c, err := p.take(n)
-	if err != nil {
+	if c == nil || err != nil {
 		return 0
 	}
 	class.Deadline = waits.Truncate(time.Millisecond)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -89,6 +89,7 @@
 	Faults   []Kind  // the only kinds; empty: all
 	Overload bool    // servers get more than they can do in time, and a release goes on all the while
 	Core     float64 // part of a core that each node gets in an overload; 0: it is drawn
+	Calm     bool    // an overload without troubles
 }
 
 // Plan is what a seed draws: the same options draw the same plan.
@@ -113,6 +114,7 @@
 	groupSpan  = 2 * time.Second // in which the troubles of a group begin
 	quietTime  = time.Minute     // before some groups, where a run is long
 	longRun    = 3 * time.Minute
+	leastRun   = 40 * time.Second // of plans that have a drain and a slow start
 	maxNodes   = 200
 	maxServers = 3200 // each has a listener of its own
 )
@@ -140,9 +142,13 @@
 		// A generator of its own: the plan is the same at each number of servers.
 		p.Rate = overloadRate
 		p.Overload = drawOverload(rand.New(rand.NewPCG(o.Seed, 2)), o, p.Rate)
-		return p, nil
+		if o.Calm {
+			return p, nil
+		}
+		kinds = slices.DeleteFunc(slices.Clone(kinds), func(k Kind) bool { return !slices.Contains(overloadKinds, k) })
+	} else {
+		kinds = p.drawFaults(rng, kinds)
 	}
-	kinds = p.drawFaults(rng, kinds)
 	if len(kinds) == 0 {
 		return p, nil
 	}
@@ -161,10 +167,24 @@
 		}
 		at += groupSpan/2 + time.Duration(rng.ExpFloat64()*float64(groupApart))
 	}
+	p.drawLeast(rng, kinds)
 	slices.SortStableFunc(p.Troubles, func(a, b Trouble) int { return int(a.At - b.At) })
 	return p, nil
 }
 
+// drawLeast adds what every plan of some length has: a drain and a slow start.
+func (p *Plan) drawLeast(rng *rand.Rand, kinds []Kind) {
+	if p.Duration < leastRun {
+		return
+	}
+	for _, kind := range []Kind{ServerDrain, ServerCold} {
+		drawn := slices.ContainsFunc(p.Troubles, func(t Trouble) bool { return t.Kind == kind })
+		if !drawn && slices.Contains(kinds, kind) {
+			p.Troubles = append(p.Troubles, p.draw(rng, kind, p.Duration/4+time.Duration(rng.Float64()*float64(p.Duration/4))))
+		}
+	}
+}
+
 // drawFaults draws the nodes whose system calls fail or whose wall clocks are stepped, and returns the other kinds.
 func (p *Plan) drawFaults(rng *rand.Rand, kinds []Kind) []Kind {
 	p.Faults = make(map[int]string)
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -245,9 +245,7 @@
 		case <-ctx.Done():
 			return
 		}
-		if n.takesClients() {
-			open.Go(func() { r.send(n) })
-		}
+		open.Go(func() { r.send(n) }) // where the front sends nobody, on connections that are open
 	}
 }
 
