--- a/policy/routing.go
+++ b/policy/routing.go
@@ -71,19 +71,40 @@
 // rule: what may have run only goes where repeats are dropped.
 func (b *Balancer) openTo(r *request) *pool {
 	open := r.class.open
-	if r.ranOn == nil || r.class.Repeat == Free {
+	switch b.repeatsWithin(r) {
+	case withinAll:
 		return open
-	}
-	if r.class.Repeat != Guarded || b.now >= r.ranOn.sent+r.class.Window {
-		return nil
-	}
-	switch r.class.Group {
-	case GroupAll:
-		return open
-	case GroupZone:
+	case withinZone:
 		return open.zones[r.ranOn.server.Zone]
+	case withinCell:
+		return open.cells[r.ranOn.server.Cell]
 	}
-	return open.cells[r.ranOn.server.Cell]
+	return nil
+}
+
+// reach is how far from the server that may have run it a request may go.
+type reach int
+
+const (
+	nowhere reach = iota
+	withinCell
+	withinZone
+	withinAll
+)
+
+// repeatsWithin tells where r may be sent by what may have run of it: the second rule in one place.
+func (b *Balancer) repeatsWithin(r *request) reach {
+	switch {
+	case r.ranOn == nil || r.class.Repeat == Free:
+		return withinAll
+	case r.class.Repeat != Guarded || b.now >= r.ranOn.sent+r.class.Window:
+		return nowhere
+	case r.class.Group == GroupAll:
+		return withinAll
+	case r.class.Group == GroupZone:
+		return withinZone
+	}
+	return withinCell
 }
 
 // hide keeps the servers of attempts from being found in p, until what it returns is called.
@@ -246,19 +267,15 @@
 			return false
 		}
 	}
-	if r.ranOn == nil || r.class.Repeat == Free {
-		return true
-	}
-	if r.class.Repeat != Guarded || b.now >= r.ranOn.sent+r.class.Window {
-		return false
-	}
-	switch r.class.Group {
-	case GroupAll:
+	switch b.repeatsWithin(r) {
+	case withinAll:
 		return true
-	case GroupZone:
+	case withinZone:
 		return s.Zone == r.ranOn.server.Zone
+	case withinCell:
+		return s.Cell == r.ranOn.server.Cell
 	}
-	return s.Cell == r.ranOn.server.Cell
+	return false
 }
 
 // shedEarly tells whether servers turn work away before it waits too long. Then a full answer is cheap
