--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -189,6 +189,8 @@
 	defer close(l.done)
 	l.handle(attemptsCtx, heardNews{News: discovery.News{Kind: policy.ListRestored, Members: known.Members, Revision: known.Revision}})
 	close(l.ready)
+	busy := make(chan struct{})
+	close(busy)
 	sweep := time.NewTicker(sweepEvery)
 	defer sweep.Stop()
 	wake := time.NewTimer(0)
@@ -196,26 +198,17 @@
 	summary := time.NewTicker(summaryEvery)
 	defer summary.Stop()
 	for {
-		select {
-		case now := <-sweep.C:
-			l.sweep(now)
-		case <-summary.C:
-			l.summarize()
-		case <-ctx.Done():
-			return
-		default:
-		}
+		var more <-chan struct{} // ready where the loop has not come to rest
 		if ev, ok := l.events.take(); ok {
 			l.takeUp(attemptsCtx, ev)
-			l.fire(attemptsCtx)
-			continue
-		}
-		if len(l.timers) > 0 {
+			more = busy
+		} else if len(l.timers) > 0 {
 			wake.Reset(l.timers[0].due - l.clock.now())
 		} else {
 			wake.Stop()
 		}
 		select {
+		case <-more:
 		case <-l.events.wake:
 		case <-wake.C:
 		case now := <-sweep.C:
