--- a/policy/queue.go
+++ b/policy/queue.go
@@ -194,6 +194,7 @@
 // release asks again whether there are servers for the waiting requests.
 func (b *Balancer) release() {
 	if b.queue.len() == 0 {
+		clear(b.queue.lanes) // they may hold requests that have left
 		return
 	}
 	lanes := laneHeap(slices.DeleteFunc(b.queue.open(b.now), func(l *lane) bool { return l.head() == nil }))
