Name admission, sequence numbers and sends by the field's words

door, place and rate stood for three things each in what the incident's mends touched. Tests of both packages that touch them pass; no behaviour changes.

--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -48,12 +48,12 @@
 	return "other"
 }
 
-// heardNews is news of the list with its place among all that was heard: the greater, the later. What the process
-// knew at its start, or took over, has place 0.
+// heardNews is news of the list with its sequence number among all that was heard: the greater, the later. What the process
+// knew at its start, or took over, has 0.
 type heardNews struct {
 	discovery.News
-	place uint64
-	heard time.Time // by this process
+	sequence uint64
+	heard    time.Time // by this process
 }
 
 // timerDue stands for the module's timers in the metrics of events.
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -75,7 +75,7 @@
 	listedAt int64                       // its revision
 	starts   *serverStarts
 	heard    atomic.Bool        // by discovery, since the start
-	places   atomic.Uint64      // of news, in the order in which it was heard
+	sequence atomic.Uint64      // of news, in the order in which it was heard
 	lastSent map[string]sending // to each server listed; for the log
 	used     ids
 	owed     int // requests without their answer
@@ -170,7 +170,7 @@
 // late, and an attempt under way.
 func (l *loop) send(ev any) {
 	if n, ok := ev.(discovery.News); ok {
-		heard := heardNews{News: n, place: l.places.Add(1), heard: time.Now()}
+		heard := heardNews{News: n, sequence: l.sequence.Add(1), heard: time.Now()}
 		if n.Kind == policy.ListReplace || n.Kind == policy.ListUpdate {
 			l.heard.Store(true)
 			l.up.stopLeaving(heard)
@@ -236,7 +236,7 @@
 	if l.clients != nil {
 		open, evicted = l.clients.counts()
 	}
-	l.trace.shedAtDoor = l.shedder.atDoor.Swap(0)
+	l.trace.shedAtArrival = l.shedder.atArrival.Swap(0)
 	l.trace.summary(l.owed, open, evicted, l.events.length(), fmt.Sprint(l.module), l.monitor)
 }
 
--- a/internal/node/overload.go
+++ b/internal/node/overload.go
@@ -22,17 +22,17 @@
 // shedder decides which requests are turned away for the loop's lag. The loop tells it how long each has waited; any
 // goroutine may ask.
 type shedder struct {
-	above  time.Time    // when requests began to wait too long without a break; zero: the last one did not
-	until  atomic.Int64 // up to when new ones are refused, in nanoseconds since origin
-	origin time.Time
-	atDoor atomic.Int64 // requests refused without waiting for the loop, since the last summary
+	above     time.Time    // when requests began to wait too long without a break; zero: the last one did not
+	until     atomic.Int64 // up to when new ones are refused, in nanoseconds since origin
+	origin    time.Time
+	atArrival atomic.Int64 // requests refused without waiting for the loop, since the last summary
 }
 
 // Reasons for which the node refuses requests by itself, in the log and as labels of wayhold_refusals_total.
 const (
-	shedForLag  = "loop lag"         // it waited for the loop for too long
-	shedAtDoor  = "loop lag at door" // others before it had
-	shedForTime = "loop late"        // its time was up before the loop had an answer
+	shedForLag    = "loop lag"            // it waited for the loop for too long
+	shedAtArrival = "loop lag at arrival" // others before it had
+	shedForTime   = "loop late"           // its time was up before the loop had an answer
 )
 
 func newShedder() *shedder { return &shedder{origin: time.Now()} }
--- a/internal/node/overload_test.go
+++ b/internal/node/overload_test.go
@@ -15,7 +15,7 @@
 func TestEventsAreTakenByPriority(t *testing.T) {
 	q := newEventQueue()
 	first, second := arrival{testClientRequest(http.MethodGet, "1", "")}, arrival{testClientRequest(http.MethodGet, "2", "")}
-	outcome, news, left := ending{n: 7}, heardNews{place: 1}, departure{x: first.x}
+	outcome, news, left := ending{n: 7}, heardNews{sequence: 1}, departure{x: first.x}
 	for _, ev := range []any{first, outcome, second, news, left} {
 		q.push(ev)
 	}
@@ -73,7 +73,7 @@
 		t.Error("turned away before the interval was over")
 	}
 	if s.refuses(now, now.Add(-time.Second)) {
-		t.Error("refused at the door before any was turned away")
+		t.Error("refused at arrival before any was turned away")
 	}
 	if !took(1, 2*shedTarget) {
 		t.Error("not turned away though all waited for the whole interval")
@@ -148,7 +148,7 @@
 	drained := members(t, "127.0.0.1:9")
 	drained[0].Availability = policy.Draining
 	news := func(place uint64, kind policy.ListKind, m []discovery.Member) heardNews {
-		return heardNews{News: discovery.News{Kind: kind, Members: m}, place: place}
+		return heardNews{News: discovery.News{Kind: kind, Members: m}, sequence: place}
 	}
 	leaving := func() bool { return up.pools["s0"] == nil || up.isLeaving(up.pools["s0"]) }
 	up.follow(news(0, policy.ListRestored, running))
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -209,8 +209,8 @@
 	defer x.leave()
 	defer x.reserved.release()
 	if s.loop.shedder.refuses(time.Now(), s.loop.events.oldestArrival()) {
-		s.loop.shedder.atDoor.Add(1)
-		s.loop.metrics.countShed(shedAtDoor)
+		s.loop.shedder.atArrival.Add(1)
+		s.loop.metrics.countShed(shedAtArrival)
 		s.answer(w, r, x, answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter})
 		return
 	}
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -43,7 +43,7 @@
 	outcomes                      map[string]int // of attempts, by code
 	opened                        int            // connections to servers
 	servers                       map[string]*served
-	shedAtDoor                    int64         // requests refused without waiting for the loop
+	shedAtArrival                 int64         // requests refused without waiting for the loop
 	mostWaited, mostTook          time.Duration // of the loop's events
 }
 
@@ -261,7 +261,7 @@
 	denied, violated := monitor.Counts()
 	slog.Info("summary", "clients", clients, "evicted", evicted, "arrived", t.arrived, "served", t.served, "refused", t.refused, "failed", t.failed,
 		"gone", t.gone, "open", open, "attempts", t.outcomes, "opened", t.opened,
-		"queued", queued, "most_waited", t.mostWaited, "most_took", t.mostTook, "shed_at_door", t.shedAtDoor, "processor_time", processorTime(),
+		"queued", queued, "most_waited", t.mostWaited, "most_took", t.mostTook, "shed_at_arrival", t.shedAtArrival, "processor_time", processorTime(),
 		"denied", denied, "violations", violated, "lines_left_out", t.skipped, "servers", t.ended(), "module", state)
 	*t = trace{metrics: t.metrics, second: t.second, lines: t.lines}
 }
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -76,7 +76,7 @@
 	pools map[string]*pool
 	rests idlePools         // those with idle connections: few, where servers are many
 	at    map[string]string // the pool's server at each address
-	// By what was heard, whether or not the loop has taken it up: the place of the news that took a server out of
+	// By what was heard, whether or not the loop has taken it up: the number of the news that took a server out of
 	// service, and of the newest whole list.
 	stopped    map[string]uint64
 	wholeHeard uint64
@@ -136,7 +136,7 @@
 		if stays[m.Server] = m.Availability == policy.Running; stays[m.Server] {
 			continue
 		}
-		u.stopped[m.Server] = heard.place
+		u.stopped[m.Server] = heard.sequence
 		if p := u.pools[m.Server]; p != nil {
 			p.leave()
 		}
@@ -144,7 +144,7 @@
 	if heard.Kind == policy.ListUpdate {
 		return
 	}
-	u.wholeHeard = heard.place
+	u.wholeHeard = heard.sequence
 	for id, p := range u.pools {
 		if !stays[id] {
 			p.leave()
@@ -153,12 +153,12 @@
 }
 
 // outdated tells whether later news than the given has been heard that may take a server out of service.
-func (u *upstream) outdated(id string, place uint64) bool {
-	return place < u.stopped[id] || place < u.wholeHeard
+func (u *upstream) outdated(id string, sequence uint64) bool {
+	return sequence < u.stopped[id] || sequence < u.wholeHeard
 }
 
 // update follows a list that is the newest.
-func (u *upstream) update(n discovery.News) { u.follow(heardNews{News: n, place: math.MaxUint64}) }
+func (u *upstream) update(n discovery.News) { u.follow(heardNews{News: n, sequence: math.MaxUint64}) }
 
 // follow follows the list. A server that moved or started anew gets a new pool: what was open to its
 // former process is of no use.
@@ -177,7 +177,7 @@
 			u.forget(m.Server)
 			u.take(m)
 		}
-		outdated := u.outdated(m.Server, heard.place)
+		outdated := u.outdated(m.Server, heard.sequence)
 		if !outdated {
 			delete(u.stopped, m.Server)
 		}
@@ -197,7 +197,7 @@
 			u.forget(id)
 		}
 	}
-	maps.DeleteFunc(u.stopped, func(_ string, place uint64) bool { return place <= heard.place })
+	maps.DeleteFunc(u.stopped, func(_ string, sequence uint64) bool { return sequence <= heard.sequence })
 }
 
 // take makes a pool for m, unless another server has its address by now: of two at one address the
--- a/policy/attempts.go
+++ b/policy/attempts.go
@@ -26,7 +26,7 @@
 	switch {
 	case b.exhausted(r):
 		b.giveUp(r, "no attempts left")
-	case b.place(r):
+	case b.trySend(r):
 	case r.ranOn == nil && b.now+queuePoll < r.giveUp:
 		b.enqueue(r)
 	default:
@@ -39,8 +39,8 @@
 	return b.spent(r) || len(r.attempts) > 0 && !b.mayRepeat()
 }
 
-// place sends r to a server, if there is one for it.
-func (b *Balancer) place(r *request) bool {
+// trySend sends r to a server, if there is one for it.
+func (b *Balancer) trySend(r *request) bool {
 	s := b.trial(r)
 	trial, room := s != nil, false
 	if !trial {
--- a/policy/queue.go
+++ b/policy/queue.go
@@ -45,7 +45,7 @@
 // push lets r wait.
 func (q *requestQueue) push(r *request) {
 	q.last++
-	r.place = queuedRequest{number: q.last, expires: min(r.giveUp-queuePoll, r.worthTo)}
+	r.entry = queuedRequest{number: q.last, expires: min(r.giveUp-queuePoll, r.worthTo)}
 	key := laneKey{r.class, len(r.attempts) > 0}
 	l := q.lanes[key]
 	if l == nil {
@@ -61,8 +61,8 @@
 
 // drop ends r's wait, if it waits.
 func (q *requestQueue) drop(r *request) {
-	if r.place.at > 0 {
-		heap.Remove(&q.expiry, r.place.at-1)
+	if r.entry.at > 0 {
+		heap.Remove(&q.expiry, r.entry.at-1)
 	}
 }
 
@@ -82,14 +82,14 @@
 	}
 	q.markDue(0, now)
 	for _, l := range open {
-		slices.SortFunc(l.due, func(x, y *request) int { return cmp.Compare(x.place.number, y.place.number) })
+		slices.SortFunc(l.due, func(x, y *request) int { return cmp.Compare(x.entry.number, y.entry.number) })
 	}
 	return open
 }
 
 // markDue tells the lanes of the requests at and below a place of the heap whose time is over.
 func (q *requestQueue) markDue(at int, now Time) {
-	if at >= len(q.expiry) || q.expiry[at].place.expires > now {
+	if at >= len(q.expiry) || q.expiry[at].entry.expires > now {
 		return
 	}
 	r := q.expiry[at]
@@ -107,7 +107,7 @@
 }
 
 // gone tells whether a request of a lane has left: nil stands for one that was sent, and may wait in another lane by now.
-func gone(r *request) bool { return r == nil || r.place.at == 0 }
+func gone(r *request) bool { return r == nil || r.entry.at == 0 }
 
 // head is the request whose turn is next; nil if nobody's is. Of a blocked lane only those count whose time is over.
 func (l *lane) head() *request {
@@ -130,7 +130,7 @@
 // pass leaves the head waiting, and goes on behind it.
 func (l *lane) pass(r *request) {
 	l.next++
-	for len(l.due) > 0 && l.due[0].place.number <= r.place.number {
+	for len(l.due) > 0 && l.due[0].entry.number <= r.entry.number {
 		l.due = l.due[1:]
 	}
 }
@@ -141,7 +141,7 @@
 func (h laneHeap) Len() int { return len(h) }
 func (h laneHeap) Less(i, j int) bool {
 	x, y := h[i].head(), h[j].head()
-	return cmp.Or(cmp.Compare(y.class.Worth, x.class.Worth), cmp.Compare(x.place.number, y.place.number)) < 0
+	return cmp.Or(cmp.Compare(y.class.Worth, x.class.Worth), cmp.Compare(x.entry.number, y.entry.number)) < 0
 }
 func (h laneHeap) Swap(i, j int) { h[i], h[j] = h[j], h[i] }
 func (h *laneHeap) Push(l any)   { *h = append(*h, l.(*lane)) }
@@ -156,20 +156,20 @@
 type expiryHeap []*request
 
 func (h expiryHeap) Len() int           { return len(h) }
-func (h expiryHeap) Less(i, j int) bool { return h[i].place.expires < h[j].place.expires }
+func (h expiryHeap) Less(i, j int) bool { return h[i].entry.expires < h[j].entry.expires }
 func (h expiryHeap) Swap(i, j int) {
 	h[i], h[j] = h[j], h[i]
-	h[i].place.at, h[j].place.at = i+1, j+1
+	h[i].entry.at, h[j].entry.at = i+1, j+1
 }
 func (h *expiryHeap) Push(r any) {
 	*h = append(*h, r.(*request))
-	r.(*request).place.at = len(*h)
+	r.(*request).entry.at = len(*h)
 }
 func (h *expiryHeap) Pop() any {
 	last := len(*h) - 1
 	r := (*h)[last]
 	(*h)[last] = nil
-	*h, r.place.at = (*h)[:last], 0
+	*h, r.entry.at = (*h)[:last], 0
 	return r
 }
 
@@ -217,10 +217,10 @@
 	case b.exhausted(r):
 		b.queue.drop(r)
 		b.giveUp(r, "no attempts left")
-	case !l.full && b.place(r):
+	case !l.full && b.trySend(r):
 		b.queue.drop(r)
 		l.waiting[l.next] = nil
-	case b.now >= r.place.expires:
+	case b.now >= r.entry.expires:
 		l.full = l.full || b.blocks(l, r)
 		b.queue.drop(r)
 		b.giveUp(r, "no server has room")
--- a/policy/state.go
+++ b/policy/state.go
@@ -103,7 +103,7 @@
 	ended    bool     // the final answer is given
 	stream   bool     // the answer has begun
 	queued   bool     // it waited for a server at least once
-	place    queuedRequest
+	entry    queuedRequest
 }
 
 // lateResponse is an attempt that was given up.
--- a/policy/status.go
+++ b/policy/status.go
@@ -59,13 +59,13 @@
 		st.adds, st.one = holds, 1
 	}
 	if admits && s.threshold > 0 {
-		b.rate(s, holds, &st)
+		b.fillKeys(s, holds, &st)
 	}
 	return st
 }
 
-// rate fills in the keys of a server that may be used.
-func (b *Balancer) rate(s *server, holds int, st *status) {
+// fillKeys fills in the keys of a server that may be used.
+func (b *Balancer) fillKeys(s *server, holds int, st *status) {
 	if s.inflight > 0 {
 		at := b.hungAt(s)
 		if b.now > at {
