Look at 128 servers at most whose time has come in one event

Cause: slow starts of a whole zone end in one moment, and the next event brought the status of all of them up to date. The others count as they did until the next events: a warm server as cold, a hung one as not hung, for some milliseconds of a busy node.

--- a/policy/status.go
+++ b/policy/status.go
@@ -12,6 +12,9 @@
 	// ringLooks is how many servers of the ring each event looks at. Their times come from figures that
 	// other servers' outcomes move, and are put right in turn.
 	ringLooks = 2
+	// mostWakes is how many servers each event looks at whose time has come. Slow starts of a whole zone may end in one
+	// moment; the others count as they did until the next events.
+	mostWakes = 128
 )
 
 // status is what the indexes know of a server.
@@ -107,7 +110,7 @@
 
 // advance brings the indexes up to date with the time.
 func (b *Balancer) advance() {
-	for len(b.wakes.servers) > 0 && b.wakes.servers[0].status.wake <= b.now {
+	for looked := 0; looked < mostWakes && len(b.wakes.servers) > 0 && b.wakes.servers[0].status.wake <= b.now; looked++ {
 		b.refresh(b.wakes.servers[0])
 	}
 	for range min(ringLooks, len(b.ring)) {
