Ask for the list after failed calls though the module's wish is late

Cause: in registryMode subscribe, a client whose calls failed until what they may have missed counted as told waits for the module's wish, which comes over the loop (MemberList unavailable, a timer, WatchList). A loop that is late asks late, while discovery may be back and its changes count as told 6 s after that, whoever is late.

Change: the client waits 2.5 s for the wish (4.5 s for the first one), longer than the module ever takes, and then calls by itself. A wish to be told nothing still holds. TestTheListIsAskedForThoughNobodyWishesItInTime failed before (no call for 53 s). TestAskedListsTellFailures held the client to no call at all until it is asked, for a minute; that was the fault. It holds it now to none within the module's longest pause, 2.25 s; what comes after that is the new test's.

--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -43,8 +43,12 @@
 	bodyMost                         = 4 * time.Second                               // the same, after such failures in a row
 	// gatherFor is how long changes gather before the next call while they come faster than that: a call for each would
 	// be most of what a node says when a zone is lost. Discovery takes the watch for the same up to 200 ms after its answer.
-	gatherFor  = 100 * time.Millisecond
-	backoffMin = 25 * time.Millisecond
+	gatherFor = 100 * time.Millisecond
+	// wishLatest is how long a call is put off for want of the module's wish, which comes within 2.25 s of a failed call and
+	// within 4 s of the start: the promise of newsLatest is not the loop's alone to keep, for that may be late.
+	wishLatest      = 2500 * time.Millisecond
+	firstWishLatest = 4500 * time.Millisecond
+	backoffMin      = 25 * time.Millisecond
 	// backoffMax guards the rule on drains: what a pushed list's agent has counts as told, also while
 	// the node pauses after a failed call.
 	backoffMax = 200 * time.Millisecond
@@ -202,6 +206,7 @@
 	revision int64
 	whole    bool      // the next call asks for the whole list
 	unsure   bool      // whether discovery hears this node: the next call waits for a moment only
+	declined bool      // the module wishes to be told nothing
 	failed   int       // calls in a row
 	silent   int       // of these, the last ones that were given up
 	since    time.Time // the first of these
@@ -432,24 +437,43 @@
 	return max(backoffMin, time.Duration(d.rng.Float64()*float64(span)))
 }
 
-// heed takes the module's newest wish; it waits for one only while there is nothing to watch.
+// heed takes the module's newest wish. It waits for one only while there is nothing to watch, and not for ever.
 func (d *Client) heed(ctx context.Context, watching bool) bool {
 	if watching {
 		select {
 		case on := <-d.asks:
+			d.declined = !on
 			return on
 		default:
 			return true
 		}
 	}
+	var late <-chan time.Time // nil: nothing is asked for without a wish
+	if !d.declined {
+		timer := time.NewTimer(d.wishLatest())
+		defer timer.Stop()
+		late = timer.C
+	}
 	select {
 	case on := <-d.asks:
+		d.declined = !on
 		return on
+	case <-late:
+		slog.Warn("discovery: calling without having been asked to, for the wish is late", "failed", d.failed)
+		return true
 	case <-ctx.Done():
 		return false
 	}
 }
 
+// wishLatest is how long the next call waits for the module's wish.
+func (d *Client) wishLatest() time.Duration {
+	if d.failed == 0 {
+		return firstWishLatest
+	}
+	return wishLatest
+}
+
 var errSilent = errors.New("no answer in time")
 
 // watch makes one call, which waits for something newer than the revision held, or asks for the whole
