Let handlers of leavers go at once, and keep a request's state in one word

Cause: server.depart waited until the loop had taken the departure up, so that an answer which came just then was dropped.

Change: whoever ends a request claims it, so the handler needn't wait: either its claim was first, and no answer comes, or the loop's was, and the answer comes at once. That an attempt was tried stands in the same word now.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -130,8 +130,7 @@
 type (
 	arrival   struct{ x *clientRequest }
 	departure struct { // its handler has ended the request: the client has left, or its time was up
-		x    *clientRequest
-		told chan struct{} // closed when it is heeded; nil: nobody waits for that
+		x *clientRequest
 	}
 	uploaded struct { // the last byte of a large body was sent on
 		r    *request
@@ -302,9 +301,6 @@
 			l.tell(ctx, policy.Lapsed{ID: r.req.ID})
 			l.drop(r)
 		}
-		if e.told != nil {
-			close(e.told)
-		}
 	case uploaded:
 		if r := e.r; !r.ended { // the client's time counts from its last byte
 			r.deadline += e.took
@@ -337,7 +333,7 @@
 }
 
 func (l *loop) arrive(ctx context.Context, x *clientRequest) {
-	if x.ending() != requestOpen { // its handler has answered, or its client has left
+	if !x.isOpen() { // its handler has answered, or its client has left
 		return
 	}
 	// The module would wait for the first of an id and never answer this one; and what came under an
@@ -573,8 +569,7 @@
 		l.skip(r, a, now, denied)
 		return
 	}
-	r.attempted.Store(true) // before it is seen whether the handler has answered, which looks the other way round
-	if r.ending() != requestOpen {
+	if !r.try() { // its handler has answered, or its client has left
 		l.skip(r, a, now, invariant.AttemptAfterAnswer)
 		return
 	}
@@ -710,11 +705,11 @@
 
 // traceHandlersEnd notes the end of a request that its handler has ended.
 func (l *loop) traceHandlersEnd(r *request) {
-	if r.ending() == clientLeft {
+	if r.currentState() == clientLeft {
 		l.trace.answered(l.clock.now(), r, answer{}, "client left")
 		return
 	}
-	l.trace.answered(l.clock.now(), r, r.lateAnswer(), shedForTime)
+	l.trace.answered(l.clock.now(), r, r.handlersAnswer(), shedForTime)
 }
 
 // fail gives the client its one answer where the module has none in time, and tells it so.
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -59,21 +59,23 @@
 
 	// left ends when the client has left, or has its answer: no attempt begins after that, whether or not the site lets
 	// the module call off those that have begun.
-	left      context.Context
-	leave     context.CancelFunc
-	end       atomic.Int32 // a requestEnd: who ended it
-	attempted atomic.Bool  // an attempt may have begun
-	late      *time.Timer  // fires when its handler answers in the loop's place; nil: never
+	left  context.Context
+	leave context.CancelFunc
+	state atomic.Int32 // a requestState
+	late  *time.Timer  // fires when its handler answers in the loop's place; nil: never
 }
 
-// requestEnd tells who has ended a request. The first to claim it does, and nobody else answers.
-type requestEnd int32
+// requestState tells whether a request is open, and who has ended it. Whoever moves it out of the open states answers the
+// client, and nobody else does. In one word, so that an attempt and the promise that there was none exclude each other.
+type requestState int32
 
 const (
-	requestOpen requestEnd = iota
-	answeredByLoop
-	answeredByHandler // its time was up, and the loop had said nothing
-	clientLeft
+	requestOpen       requestState = iota // no attempt has begun
+	requestTried                          // open, and an attempt may have begun
+	answeredByLoop                        // or about to be
+	refusedByHandler                      // in the loop's place; no attempt has begun, nor will one
+	timedOutByHandler                     // the same, but an attempt may have begun
+	clientLeft                            // no answer is owed any more
 )
 
 // begin makes a request ready for the loop.
@@ -82,12 +84,50 @@
 	x.left, x.leave = context.WithCancel(context.Background())
 }
 
+// move changes the state by next, which is given an open state and returns the new one. It reports the new state, or false
+// where somebody has ended the request.
+func (x *clientRequest) move(next func(requestState) requestState) (requestState, bool) {
+	for {
+		old := x.currentState()
+		if old != requestOpen && old != requestTried {
+			return old, false
+		}
+		if to := next(old); x.state.CompareAndSwap(int32(old), int32(to)) {
+			return to, true
+		}
+	}
+}
+
 // claim ends a request, or reports false where somebody has.
-func (x *clientRequest) claim(by requestEnd) bool {
-	return x.end.CompareAndSwap(int32(requestOpen), int32(by))
+func (x *clientRequest) claim(by requestState) bool {
+	_, ok := x.move(func(requestState) requestState { return by })
+	return ok
+}
+
+// try notes that an attempt is about to begin, or reports false where the request has ended.
+func (x *clientRequest) try() bool {
+	_, ok := x.move(func(requestState) requestState { return requestTried })
+	return ok
+}
+
+// claimByHandler is claim for a handler that answers in the loop's place.
+func (x *clientRequest) claimByHandler() bool {
+	_, ok := x.move(func(old requestState) requestState {
+		if old == requestTried {
+			return timedOutByHandler
+		}
+		return refusedByHandler
+	})
+	return ok
 }
 
-func (x *clientRequest) ending() requestEnd { return requestEnd(x.end.Load()) }
+func (x *clientRequest) currentState() requestState { return requestState(x.state.Load()) }
+
+// isOpen tells whether nobody has ended the request.
+func (x *clientRequest) isOpen() bool {
+	state := x.currentState()
+	return state == requestOpen || state == requestTried
+}
 
 // answerUnseen answers a request that the module has not been told of, unless it is ended.
 func (x *clientRequest) answerUnseen(a answer) bool {
@@ -98,9 +138,10 @@
 	return true
 }
 
-// lateAnswer is what a client gets whose time is up. That nothing ran is promised where no attempt has begun.
-func (x *clientRequest) lateAnswer() answer {
-	if x.attempted.Load() {
+// handlersAnswer is what a client gets whose request its handler has ended. That nothing ran is promised where no attempt
+// has begun.
+func (x *clientRequest) handlersAnswer() answer {
+	if x.currentState() == timedOutByHandler {
 		return answer{status: http.StatusGatewayTimeout}
 	}
 	return answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter}
@@ -255,29 +296,23 @@
 
 // answerLate answers a request for which the loop has said nothing in its time.
 func (s *server) answerLate(w http.ResponseWriter, r *http.Request, x *clientRequest) {
-	if !x.claim(answeredByHandler) {
+	if !x.claimByHandler() {
 		s.answer(w, r, x, <-x.reply) // it does so just now
 		return
 	}
 	x.leave()
-	s.loop.send(departure{x: x})
-	s.answer(w, r, x, x.lateAnswer())
+	s.loop.send(departure{x})
+	s.answer(w, r, x, x.handlersAnswer())
 }
 
-// depart tells the loop that a request's client has left, and drops an answer that came just then.
+// depart tells the loop that a request's client has left, and drops an answer that came just then. It doesn't wait for the
+// loop to take that up, which may be late: no attempt begins any more.
 func (s *server) depart(x *clientRequest) {
 	x.leave()
-	x.claim(clientLeft)
-	told := make(chan struct{})
-	s.loop.send(departure{x, told})
-	select {
-	case <-told:
-	case <-s.loop.done:
-	}
-	select {
-	case a := <-x.reply:
-		a.drop()
-	default:
+	left := x.claim(clientLeft)
+	s.loop.send(departure{x})
+	if !left { // the loop answers just now
+		(<-x.reply).drop()
 	}
 }
 
