Have handlers end what is open as the process ends, whatever the loop does

Cause: finish was an event of the loop, and connections are cut 0.1 s after it. A loop that was late by that, or a node with a small part of a core, left requests unanswered: lost, for the process ends by itself.

A longer wait before connections are cut (0.15 s) was tried and left 160 ms before SIGKILL at deadlines of 0.1 s, where TestShortDeadlinesLeaveTimeToLeave wants 200.

TestTheEndAnswersWhatIsOpenWhileTheLoopIsLate failed before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -206,8 +206,12 @@
 	}
 }
 
-// finish fails what is still open, and refuses what comes yet.
-func (s *server) finish() { s.loop.send(finish{}) }
+// finish ends what is still open, and refuses what comes yet. The handlers do so themselves, for the loop may be late, and
+// connections are cut soon.
+func (s *server) finish() {
+	close(s.ending)
+	s.loop.send(finish{})
+}
 
 // emptied waits until no client is left, and reports false if it grew late first.
 func (s *server) emptied(clients *clients, late <-chan time.Time) bool {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -183,10 +183,11 @@
 	memory  *memoryBudget
 	pieces  sync.Pool // of *[pieceSize]byte
 	http    http.Server
+	ending  chan struct{} // closed when what is still open is answered at once, whatever the loop does
 }
 
 func newServer(c Config, l *loop) *server {
-	s := &server{loop: l, classes: make(map[string]policy.Class), memory: l.up.memory,
+	s := &server{loop: l, classes: make(map[string]policy.Class), memory: l.up.memory, ending: make(chan struct{}),
 		pieces: sync.Pool{New: func() any { return new([pieceSize]byte) }}}
 	for _, class := range c.Settings.Classes {
 		s.classes[class.Name] = class
@@ -281,6 +282,8 @@
 		s.answer(w, r, x, a)
 	case <-x.late.C:
 		s.answerLate(w, r, x)
+	case <-s.ending:
+		s.answerLate(w, r, x)
 	case <-r.Context().Done():
 		s.depart(x)
 		x.client.closes(closedByClient)
@@ -294,7 +297,7 @@
 	}
 }
 
-// answerLate answers a request for which the loop has said nothing in its time.
+// answerLate answers a request for which the loop has said nothing in its time, or by the process's end.
 func (s *server) answerLate(w http.ResponseWriter, r *http.Request, x *clientRequest) {
 	if !x.claimByHandler() {
 		s.answer(w, r, x, <-x.reply) // it does so just now
