Tell how long requests were held by what ended them

wayhold_request_held_seconds was one histogram of first attempts and refusals together. It has the label end now: sent, or the reason of a request's end without an attempt. Ends by handlers and backstops are among them; they were not counted.

--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -574,7 +574,7 @@
 		return
 	}
 	if n == 0 {
-		l.metrics.decisionTime.Observe((now - r.came).Seconds())
+		l.metrics.heldTime.WithLabelValues(heldUntilSent).Observe((now - r.came).Seconds())
 	}
 	r.pending++
 	until := r.deadline
@@ -665,9 +665,6 @@
 }
 
 func (l *loop) refuse(r *request, wait time.Duration, why string) {
-	if len(r.attempts) == 0 {
-		l.metrics.decisionTime.Observe((l.clock.now() - r.came).Seconds())
-	}
 	class := l.classes[r.req.Class]
 	if denied := invariant.MayRefuse(class.Repeat, class.Group, l.prior(r, class, "")); denied != invariant.None {
 		l.monitor.Misdirected(denied, r.req.ID, "why", why, "attempts", r.history())
--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -27,6 +27,9 @@
 	closedWithReply = "answered"  // with an answer that said so
 )
 
+// heldUntilSent is the end of a request's wait that an attempt was, as the label of wayhold_request_held_seconds.
+const heldUntilSent = "sent"
+
 // metrics are the node's counters for Prometheus. They are counted whether or not anybody asks.
 type metrics struct {
 	registry *prometheus.Registry
@@ -39,11 +42,11 @@
 	opened      prometheus.Counter
 	attemptTime prometheus.Histogram
 
-	loopLag      prometheus.Histogram
-	loopWork     *prometheus.HistogramVec
-	decisionTime prometheus.Histogram
-	listDelay    prometheus.Histogram
-	held         prometheus.Gauge
+	loopLag   prometheus.Histogram
+	loopWork  *prometheus.HistogramVec
+	heldTime  *prometheus.HistogramVec
+	listDelay prometheus.Histogram
+	held      prometheus.Gauge
 }
 
 func newMetrics() *metrics {
@@ -68,10 +71,11 @@
 	m.loopLag = histogram("wayhold_loop_lag_seconds", "Time that events waited for the decision loop.", 1e-5)
 	m.loopWork = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "wayhold_loop_work_seconds",
 		Help: "Time that the decision loop took for an event, by its kind.", Buckets: prometheus.ExponentialBuckets(1e-6, 4, 10)}, []string{"event"})
-	m.decisionTime = histogram("wayhold_request_held_seconds", "Time from a request's arrival to its first attempt, or to its refusal without one.", 1e-5)
+	m.heldTime = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "wayhold_request_held_seconds",
+		Help: "Time from a request's arrival to its first attempt (sent), or to its end without one, by the reason.", Buckets: prometheus.ExponentialBuckets(1e-5, 4, 10)}, []string{"end"})
 	m.listDelay = histogram("wayhold_list_in_force_seconds", "Time from when news of the list was heard to when decisions went by it.", 1e-5)
 	m.held = prometheus.NewGauge(prometheus.GaugeOpts{Name: "wayhold_requests_held", Help: "Requests that wait for a server."})
-	m.registry.MustRegister(m.loopLag, m.loopWork, m.decisionTime, m.listDelay, m.held)
+	m.registry.MustRegister(m.loopLag, m.loopWork, m.heldTime, m.listDelay, m.held)
 	m.registry.MustRegister(m.requests, m.refusals, m.attempts, m.retries, m.closed, m.opened, m.attemptTime)
 	return m
 }
--- a/internal/node/trace.go
+++ b/internal/node/trace.go
@@ -144,6 +144,9 @@
 
 // answered notes how a request ended; by says who ended it.
 func (t *trace) answered(now policy.Time, r *request, a answer, by string) {
+	if len(r.attempts) == 0 {
+		t.metrics.heldTime.WithLabelValues(by).Observe((now - r.came).Seconds())
+	}
 	level := slog.LevelInfo
 	switch {
 	case a.status == http.StatusOK:
--- a/internal/node/trace_test.go
+++ b/internal/node/trace_test.go
@@ -6,6 +6,7 @@
 	"fmt"
 	"log/slog"
 	"net/http"
+	"net/http/httptest"
 	"slices"
 	"strings"
 	"testing"
@@ -124,3 +125,25 @@
 		t.Error("not in the order of ids")
 	}
 }
+
+// The metrics tell how long requests without an attempt were held, by what ended them.
+func TestHeldTimeIsCountedByReason(t *testing.T) {
+	metrics := newMetrics()
+	tr := trace{metrics: metrics}
+	r := &request{clientRequest: testClientRequest(http.MethodGet, "r1", "")}
+	tr.answered(r.came+time.Second, r, answer{status: http.StatusServiceUnavailable}, "no server has room")
+	tr.answered(r.came, r, answer{status: http.StatusTooManyRequests}, "bucket")
+	r.attempts = []attempt{{server: "s-a", sent: r.came, over: true, code: policy.Full}}
+	tr.answered(r.came+time.Second, r, answer{status: http.StatusServiceUnavailable}, "no attempts left")
+	w := httptest.NewRecorder()
+	metrics.handler().ServeHTTP(w, httptest.NewRequest(http.MethodGet, "/metrics", nil))
+	for _, want := range []string{`wayhold_request_held_seconds_sum{end="no server has room"} 1`,
+		`wayhold_request_held_seconds_count{end="bucket"} 1`} {
+		if !strings.Contains(w.Body.String(), want+"\n") {
+			t.Errorf("the metrics lack %s", want)
+		}
+	}
+	if strings.Contains(w.Body.String(), `wayhold_request_held_seconds_count{end="no attempts left"}`) {
+		t.Error("a request that was sent counts as held to its end")
+	}
+}
