Play overloads together with all troubles, and with clients that leave or ask once

Overloads left out 18 of the 31 kinds (upgrades, pauses, standby, leavers, floods, pipelines, slow and stopping clients, second, endless and late answers, drains, removals and slow starts beside the release, logs, failing system calls, stepped clocks), and all their clients asked again. Nothing spoke against them. Three of ten requests are those of ordinary plans now.

--- a/internal/soak/client.go
+++ b/internal/soak/client.go
@@ -210,7 +210,7 @@
 	var all strings.Builder
 	var requests []*request
 	for range 2 + int(p.float()*queueMost) {
-		r, text := p.begin(n, classes[0], false)
+		r, text := p.begin(n, p.classes[0], false)
 		requests = append(requests, r)
 		all.WriteString(text)
 	}
@@ -238,7 +238,7 @@
 	if err != nil {
 		return
 	}
-	r, text := p.begin(n, classes[0], false)
+	r, text := p.begin(n, p.classes[0], false)
 	if _, err := io.WriteString(c, text); err != nil {
 		c.Close()
 		return
@@ -247,7 +247,7 @@
 	var all strings.Builder
 	requests := []*request{r}
 	for most := int(p.float() * floodMost); all.Len() < most; {
-		r, text := p.begin(n, classes[0], false)
+		r, text := p.begin(n, p.classes[0], false)
 		requests = append(requests, r)
 		all.WriteString(text)
 	}
@@ -270,7 +270,7 @@
 	what := "on a new connection"
 	if p.float() < 0.5 {
 		what = "behind an answer"
-		r, text := p.begin(n, classes[0], false)
+		r, text := p.begin(n, p.classes[0], false)
 		if _, err := io.WriteString(c, text); err != nil {
 			return
 		}
--- a/internal/soak/judge_test.go
+++ b/internal/soak/judge_test.go
@@ -238,3 +238,21 @@
 		}
 	}
 }
+
+// Overloads come with all troubles that there are, and some of their nodes with failing system calls and stepped clocks.
+func TestOverloadsComeWithAllTroubles(t *testing.T) {
+	struck, faulty := map[Kind]bool{}, 0
+	for seed := range uint64(20) {
+		p, err := Draw(Options{Seed: seed, Duration: time.Minute, Nodes: 3, Servers: 3200, Overload: true})
+		if err != nil {
+			t.Fatal(err)
+		}
+		for _, trouble := range p.Troubles {
+			struck[trouble.Kind] = true
+		}
+		faulty += len(p.Faults)
+	}
+	if len(struck) != len(Kinds)-2 || faulty < 10 || faulty > 50 {
+		t.Errorf("20 overloads strike with %d of %d kinds, and %d of their 60 nodes have faults", len(struck), len(Kinds), faulty)
+	}
+}
--- a/internal/soak/overload.go
+++ b/internal/soak/overload.go
@@ -36,6 +36,7 @@
 	slicePeriod    = 30 * time.Millisecond  // in which a node runs once, for its part of a core
 	leastCore      = 0.05                   // part of a core
 	mostCore       = 0.5                    // part of a core
+	persistPart    = 0.7                    // of the requests, whose clients ask again
 	retriesMost    = 4                      // tries of a client in all
 	leastTry       = 100 * time.Millisecond // that a client waits for a try
 	backoffMost    = 100 * time.Millisecond // between two tries
@@ -49,10 +50,6 @@
 	{Name: "bill", Repeat: "single_shot", Deadline: time.Second},
 }
 
-// overloadKinds are the troubles that are played in an overload, beside its releases.
-var overloadKinds = []Kind{NodeTerm, NodeKill, NodeReload, RegistryDown, RegistryMute, RegistrySlow, RegistryCut, ServerHang,
-	ServerReset, ServerForget, ServerErrors, ServerPieces, ClientsIdle}
-
 // longestDeadline is the longest of a plan's classes, as the platform counts it at a planned restart (PROTOCOL).
 func (p Plan) longestDeadline() time.Duration {
 	longest := time.Duration(0)
--- a/internal/soak/plan.go
+++ b/internal/soak/plan.go
@@ -145,10 +145,8 @@
 		if o.Calm {
 			return p, nil
 		}
-		kinds = slices.DeleteFunc(slices.Clone(kinds), func(k Kind) bool { return !slices.Contains(overloadKinds, k) })
-	} else {
-		kinds = p.drawFaults(rng, kinds)
 	}
+	kinds = p.drawFaults(rng, kinds)
 	if len(kinds) == 0 {
 		return p, nil
 	}
--- a/internal/soak/run.go
+++ b/internal/soak/run.go
@@ -251,7 +251,7 @@
 
 // send has a client of a node send one request.
 func (r *Run) send(n *node) {
-	if r.plan.Overload != nil {
+	if r.plan.Overload != nil && r.clients.float() < persistPart {
 		r.clients.persist(n)
 	} else {
 		r.clients.request(n)
