Play one standby of a node at a time in the soak test

Traced: the plan has two standbys of that node, at 8.64 and 9.17 s; the first one's end (12.65 s) was taken for the second one's. Now they come one after the other.

--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -63,7 +63,8 @@
 	env     []string
 	logPipe bool
 
-	turn sync.Mutex // of whoever starts or ends its processes
+	turn     sync.Mutex // of whoever starts or ends its processes
+	standbys sync.Mutex // of whoever has sent it to standby: one's end would be taken for another's
 
 	crowded  atomic.Bool // idle clients fill its descriptors
 	sentAway atomic.Bool // it is in standby
@@ -297,6 +298,8 @@
 
 // standby has operators send a process's clients away and take them again, and judges what the front sees of that.
 func (n *node) standby(p *process) {
+	n.standbys.Lock()
+	defer n.standbys.Unlock()
 	if n.held != nil { // a process that takes over would be in standby too, and not ready in time
 		n.turn.Lock()
 		defer n.turn.Unlock()
