Refuse bodies that wait for room as the process ends

Cause: a handler that waits for memory for a body looked only at its client's time. Where that lay beyond the end, the connection was cut with the request unanswered, though it may have been written whole.

Change: it stops waiting as the process ends, with 503 and the time to come back. TestBodyWithoutRoomIsRefusedAtTheEnd failed before, for a small body and a large one.

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -639,28 +639,67 @@
 	}
 	runLoop(t, l, addr)
 	node, _ := serveClients(t, l)
-	room := up.memory
+	takeAllMemory(t, up.memory)
+	for _, length := range []int{100, wholeBody + 1} {
+		expectRefusal(t, postBody(t, node, length, 200*time.Millisecond))
+	}
+}
+
+// As the process ends, bodies that wait for room are refused at once: the connections are cut soon after.
+func TestBodyWithoutRoomIsRefusedAtTheEnd(t *testing.T) {
+	addr := httpServer(t, func(http.ResponseWriter, *http.Request) { t.Error("a request without room reaches a server") })
+	up := testUpstream(t, addr)
+	c := testConfig(t, knownList(addr))
+	for i := range c.Settings.Classes {
+		c.Settings.Classes[i].Deadline = time.Hour
+	}
+	l, err := newLoop(c, clock{start: time.Now()}, up)
+	if err != nil {
+		t.Fatal(err)
+	}
+	runLoop(t, l, addr)
+	s := newServer(c, l)
+	node, _ := serveClientsOf(t, s)
+	takeAllMemory(t, up.memory)
+	small, large := postBody(t, node, 100, time.Hour), postBody(t, node, wholeBody+1, time.Hour)
+	s.finish()
+	expectRefusal(t, small)
+	expectRefusal(t, large)
+}
+
+// takeAllMemory leaves no room for bodies of requests until the test ends.
+func takeAllMemory(t *testing.T, room *memoryBudget) {
+	t.Helper()
 	for _, part := range []*semaphore.Weighted{room.requests, room.largeRequests, room.held} {
 		all := int64(0)
 		for part.TryAcquire(1 << 10) {
 			all += 1 << 10
 		}
-		defer part.Release(all)
+		t.Cleanup(func() { part.Release(all) })
 	}
-	for _, length := range []int{100, wholeBody + 1} {
-		conn, err := net.Dial("tcp", node)
-		if err != nil {
-			t.Fatal(err)
-		}
-		defer conn.Close()
-		_ = conn.SetReadDeadline(time.Now().Add(long / 3))
-		if _, err := fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: r%d\r\nX-Class: pay\r\nX-Tenant: t\r\n"+
-			"X-Deadline-Ms: 200\r\nContent-Length: %d\r\n\r\n%s", length, length, strings.Repeat("x", length)); err != nil {
-			t.Fatal(err)
-		}
-		resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
-		if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
-			t.Errorf("%d bytes: %v, %v; want a refusal that says when to come back", length, resp, err)
-		}
+}
+
+// postBody sends a request with a body on a new connection, whose client waits for so long.
+func postBody(t *testing.T, node string, length int, waits time.Duration) net.Conn {
+	t.Helper()
+	conn, err := net.Dial("tcp", node)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	_ = conn.SetReadDeadline(time.Now().Add(long / 3))
+	if _, err := fmt.Fprintf(conn, "POST /api HTTP/1.1\r\nHost: a\r\nX-Request-Id: r%d\r\nX-Class: pay\r\nX-Tenant: t\r\n"+
+		"X-Deadline-Ms: %d\r\nContent-Length: %d\r\n\r\n%s", length, waits.Milliseconds(), length, strings.Repeat("x", length)); err != nil {
+		t.Fatal(err)
+	}
+	return conn
+}
+
+// expectRefusal wants a refusal that says when to come back.
+func expectRefusal(t *testing.T, conn net.Conn) {
+	t.Helper()
+	resp, err := http.ReadResponse(bufio.NewReader(conn), nil)
+	if err != nil || resp.StatusCode != http.StatusServiceUnavailable || resp.Header.Get("Retry-After") == "" {
+		t.Errorf("%v, %v; want a refusal that says when to come back", resp, err)
 	}
 }
--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -21,12 +21,17 @@
 // serveClients runs a server for the loop's node, with nothing else around it.
 func serveClients(t *testing.T, l *loop) (addr string, all *clients) {
 	t.Helper()
-	c := testConfig(t, knownList("127.0.0.1:9"))
+	return serveClientsOf(t, newServer(testConfig(t, knownList("127.0.0.1:9")), l))
+}
+
+// serveClientsOf is serveClients for a server of the test's own.
+func serveClientsOf(t *testing.T, s *server) (addr string, all *clients) {
+	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
 		t.Fatal(err)
 	}
-	s, served := newServer(c, l), make(chan error, 1)
+	served := make(chan error, 1)
 	all = newClients(ln, 100)
 	go func() { served <- s.http.Serve(all) }()
 	t.Cleanup(func() {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -562,7 +562,8 @@
 }
 
 // waitForMemory takes room for a body, but waits no longer than the client of one that has been written whole: it is owed
-// its final answer whoever holds the room. Of a larger body the rest comes only once there is room.
+// its final answer whoever holds the room. Of a larger body the rest comes only once there is room. Nobody waits beyond the
+// process's end.
 func (s *server) waitForMemory(r *http.Request, x *clientRequest, room *semaphore.Weighted, bytes int64) (*reservation, error) {
 	if claim := tryReserve(room, bytes); claim != nil {
 		return claim, nil
@@ -578,6 +579,9 @@
 				if x.length <= wholeBody || x.client.holdsUnread(x.length) {
 					cancel(errNoMemory)
 				}
+			case <-s.ending:
+				cancel(errNoMemory)
+				return
 			case <-ctx.Done():
 				return
 			}
