--- a/internal/node/overload_test.go
+++ b/internal/node/overload_test.go
@@ -15,7 +15,7 @@
 func TestEventsAreTakenByPriority(t *testing.T) {
 	q := newEventQueue()
 	first, second := arrival{testClientRequest(http.MethodGet, "1", "")}, arrival{testClientRequest(http.MethodGet, "2", "")}
-	outcome, news, left := ending{n: 7}, heardNews{sequence: 1}, departure{x: first.x}
+	outcome, news, left := ending{n: 7}, heardNews{sequence: 1}, departure(first)
 	for _, ev := range []any{first, outcome, second, news, left} {
 		q.push(ev)
 	}
