--- a/internal/node/admin_test.go
+++ b/internal/node/admin_test.go
@@ -50,7 +50,7 @@
 	return resp.StatusCode
 }
 
-func testDoor(t *testing.T, life *lifecycle) string {
+func testAdminServer(t *testing.T, life *lifecycle) string {
 	t.Helper()
 	ln, err := net.Listen("tcp", "127.0.0.1:0")
 	if err != nil {
@@ -64,7 +64,7 @@
 func TestAdminAnswersCalls(t *testing.T) {
 	var life lifecycle
 	defer life.end()
-	addr := testDoor(t, &life)
+	addr := testAdminServer(t, &life)
 	for _, c := range []struct {
 		method, path string
 		want         int
@@ -111,7 +111,7 @@
 // is allowed.
 func TestAdminTurnsNoiseAway(t *testing.T) {
 	var life lifecycle
-	addr := testDoor(t, &life)
+	addr := testAdminServer(t, &life)
 	var noise sync.WaitGroup
 	const status = "GET /status HTTP/1.1\r\nHost: a\r\n\r\n"
 	for raw, want := range map[string]string{
@@ -155,7 +155,7 @@
 func TestAdminStaysOpenToOthers(t *testing.T) {
 	var life lifecycle
 	life.load()
-	addr := testDoor(t, &life)
+	addr := testAdminServer(t, &life)
 	for i := range 4 * adminCalls {
 		c, err := net.Dial("tcp", addr)
 		if err != nil {
