Excuse requests in the midst of a kill in the soak test

The judge excused what had been sent before the kill began and, once the process had ended, all that came before that; not what was sent after the signal and judged before the end. TestRequestsInTheMidstOfAKillAreExcused holds that moment.

--- a/internal/soak/fake_node_test.go
+++ b/internal/soak/fake_node_test.go
@@ -8,6 +8,7 @@
 	"net/http"
 	"slices"
 	"testing"
+	"testing/synctest"
 	"time"
 )
 
@@ -112,3 +113,30 @@
 		})
 	}
 }
+
+// A request that is sent after a kill has begun and before the process has ended is excused as well as those before.
+func TestRequestsInTheMidstOfAKillAreExcused(t *testing.T) {
+	synctest.Test(t, func(t *testing.T) {
+		n := &node{}
+		before := time.Now()
+		time.Sleep(time.Millisecond)
+		if n.died(before) {
+			t.Error("a node died that nobody killed")
+		}
+		n.noteKill(true)
+		time.Sleep(time.Millisecond)
+		amidst := time.Now()
+		if !n.died(before) || !n.died(amidst) {
+			t.Error("not excused while the kill goes on")
+		}
+		time.Sleep(time.Millisecond)
+		n.noteKill(false)
+		if !n.died(before) || !n.died(amidst) {
+			t.Error("not excused once the kill is over")
+		}
+		time.Sleep(time.Millisecond)
+		if n.died(time.Now()) {
+			t.Error("excused after the kill")
+		}
+	})
+}
--- a/internal/soak/node.go
+++ b/internal/soak/node.go
@@ -71,8 +71,9 @@
 
 	mu       sync.Mutex
 	current  *process
-	lastKill time.Time
-	ready    bool // as the front sees it
+	killing  bool
+	lastKill time.Time // when the last kill was over
+	ready    bool      // as the front sees it
 	saidNo   time.Time
 	readies  []time.Duration
 }
@@ -232,7 +233,7 @@
 func (n *node) died(since time.Time) bool {
 	n.mu.Lock()
 	defer n.mu.Unlock()
-	return n.lastKill.After(since)
+	return n.killing || n.lastKill.After(since)
 }
 
 // turnsAway tells whether the node has had a reason, since a time, to close connections over requests that it has not
@@ -250,14 +251,17 @@
 // kill ends a process outright.
 func (n *node) kill(p *process) {
 	p.killed.Store(true)
-	n.mu.Lock()
-	n.lastKill = time.Now()
-	n.mu.Unlock()
+	n.noteKill(true)
 	n.signal(p, syscall.SIGKILL)
 	<-p.ended
+	n.noteKill(false)
+}
+
+// noteKill notes that a kill begins, or is over. All that came before its end is excused, also what comes in the midst of it.
+func (n *node) noteKill(begins bool) {
 	n.mu.Lock()
-	n.lastKill = time.Now() // all that came before is excused
-	n.mu.Unlock()
+	defer n.mu.Unlock()
+	n.killing, n.lastKill = begins, time.Now()
 }
 
 // end tells a process to end, and waits for that as long as the platform does.
