Count the work of events at servers that hang, too

The worlds of TestWorkOfAnEventIsBoundedInAnOverload had servers that turn away and servers whose attempts time out, after which they count as hung only for a while. Attempts of which nothing more is heard keep every server that was met hung. The bounds hold there.

--- a/policy/overload_test.go
+++ b/policy/overload_test.go
@@ -13,12 +13,15 @@
 // An overloaded node at different sizes: what an event costs may not grow with the servers that a class is open to,
 // nor with the requests that wait for one. Entries looked at are counted, for times are not the same twice.
 
+// noOutcome stands for attempts of which nothing more is heard, at servers that hang.
+const noOutcome = Code(255)
+
 // overload is a fleet whose servers take no more.
 type overload struct {
 	servers, classes int
 	cold             float64 // part of the servers in slow start
 	ejected          float64 // part of them ejected at the start
-	code             Code    // of every attempt: Full at once, TimedOut as its time is up
+	code             Code    // of every attempt: Full at once, TimedOut as its time is up, noOutcome for none
 	keys             bool
 	held             int  // requests that wait for a server from the start on
 	warmsUp          bool // the slow starts end together in the midst of the play
@@ -114,6 +117,9 @@
 		case Send:
 			attempt := r.sent[a.ID]
 			r.sent[a.ID]++
+			if r.code == noOutcome {
+				continue
+			}
 			e := Outcome{ID: a.ID, Server: a.Server, Attempt: attempt, Code: r.code, Latency: 2 * ms}
 			if r.code == TimedOut {
 				e.Latency = a.Until - r.now
@@ -216,7 +222,7 @@
 	for _, classes := range []int{1, 5} {
 		for _, cold := range []float64{0, 0.5, 1} {
 			for _, ejected := range []float64{0, 0.5} {
-				for _, code := range []Code{Full, TimedOut} {
+				for _, code := range []Code{Full, TimedOut, noOutcome} {
 					for _, keys := range []bool{false, true} {
 						o := overload{servers: 200, classes: classes, cold: cold, ejected: ejected, code: code, keys: keys}
 						large := o
