Refuse what was never tried as the process ends, and name that end in the log

The loop failed all that was open at the end with 502, also what no attempt had begun for; that may be asked for again, so it is refused now, 503 with the time to come back, as the handlers do. Ends by handlers that watch the process's end counted as loop late, which on-call takes for a reason to look at the loop; they count as stopping, and the loop hears of the end before it hears of them. TestFinishFailsWhatIsOpen wanted 502 of a request that was never tried; TestFinishEndsWhatIsOpen wants the refusal, and 502 of one that was.

--- a/internal/node/final_answers.go
+++ b/internal/node/final_answers.go
@@ -52,12 +52,30 @@
 		l.trace.answered(l.clock.now(), r, answer{}, "client left")
 		return
 	}
-	l.trace.answered(l.clock.now(), r, r.handlersAnswer(), shedForTime)
+	by := shedForTime
+	if l.stopping {
+		by = endedByStop
+	}
+	l.trace.answered(l.clock.now(), r, r.handlersAnswer(), by)
 }
 
-// fail gives the client its one answer where the module has none in time, and tells it so.
+// fail gives the client its one answer where the module has none in time.
 func (l *loop) fail(ctx context.Context, r *request, status int, by string) {
-	l.answer(r, answer{status: status}, by)
+	l.overrule(ctx, r, answer{status: status}, by)
+}
+
+// stop ends a request that is open as the process ends. One that was never tried is refused.
+func (l *loop) stop(ctx context.Context, r *request) {
+	a := answer{status: http.StatusBadGateway}
+	if r.currentState() == requestOpen { // and the loop alone tries
+		a = answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter}
+	}
+	l.overrule(ctx, r, a, endedByStop)
+}
+
+// overrule gives the client its one answer in the module's place, and tells the module so.
+func (l *loop) overrule(ctx context.Context, r *request, a answer, by string) {
+	l.answer(r, a, by)
 	l.tell(ctx, policy.Lapsed{ID: r.req.ID})
 	l.drop(r)
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -292,7 +292,7 @@
 		l.stopping = true
 		for _, r := range l.requests {
 			if !r.ended {
-				l.fail(ctx, r, http.StatusBadGateway, "stopping")
+				l.stop(ctx, r)
 			}
 		}
 	}
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -6,6 +6,7 @@
 	"hash/maphash"
 	"net/http"
 	"reflect"
+	"slices"
 	"strconv"
 	"strings"
 	"sync"
@@ -229,15 +230,41 @@
 	}
 }
 
-func TestFinishFailsWhatIsOpen(t *testing.T) {
-	l, s := startLoop(t, "127.0.0.1:9", func(policy.Time, policy.Event) []policy.Action { return nil })
+// As the process ends, what was never tried is refused, and the rest fails.
+func TestFinishEndsWhatIsOpen(t *testing.T) {
+	arrived := make(chan struct{})
+	addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) {
+		close(arrived)
+		<-r.Context().Done()
+	})
+	l, s := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
+		switch e := ev.(type) {
+		case policy.Request:
+			if e.ID == "tried" {
+				return sends(e.ID, 1)
+			}
+		case policy.Lapsed:
+			return []policy.Action{{Kind: policy.Cancel, ID: e.ID}}
+		}
+		return nil
+	})
 	x := l.arriveNow("r1", long)
 	s.has(t, "list 2", "request r1") // the end goes before requests that wait for the loop
+	y := l.arriveNow("tried", long)
+	receive(t, "the attempt", arrived)
 	l.send(finish{})
-	if a := receive(t, "the answer", x.reply); a.status != http.StatusBadGateway {
-		t.Errorf("status %d", a.status)
+	if a := receive(t, "the answer", x.reply); a.status != http.StatusServiceUnavailable || a.retryAfter <= 0 {
+		t.Errorf("never tried: status %d, retry after %v", a.status, a.retryAfter)
+	}
+	if a := receive(t, "the answer", y.reply); a.status != http.StatusBadGateway {
+		t.Errorf("tried: status %d", a.status)
+	}
+	await(t, "the ends of both and the attempt's", func() bool { return len(s.events()) == 6 })
+	for _, want := range []string{"lapsed r1", "lapsed tried", fmt.Sprintf("outcome tried 0 code %d ended true", policy.Cancelled)} {
+		if !slices.Contains(s.events(), want) {
+			t.Errorf("the module was not told of %q: %q", want, s.events())
+		}
 	}
-	s.has(t, "list 2", "request r1", "lapsed r1")
 }
 
 // A request that is over leaves nothing behind, however far off its deadline was.
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -209,8 +209,8 @@
 // finish ends what is still open, and refuses what comes yet. The handlers do so themselves, for the loop may be late, and
 // connections are cut soon.
 func (s *server) finish() {
+	s.loop.send(finish{}) // ahead of what the handlers tell the loop
 	close(s.ending)
-	s.loop.send(finish{})
 }
 
 // emptied waits until no client is left, and reports false if it grew late first.
--- a/internal/node/overload.go
+++ b/internal/node/overload.go
@@ -33,6 +33,7 @@
 	shedForLag    = "loop lag"            // it waited for the loop for too long
 	shedAtArrival = "loop lag at arrival" // others before it had
 	shedForTime   = "loop late"           // its time was up before the loop had an answer
+	endedByStop   = "stopping"            // the process ends
 )
 
 func newShedder() *shedder { return &shedder{origin: time.Now()} }
