--- a/internal/discovery/discovery_test.go
+++ b/internal/discovery/discovery_test.go
@@ -349,13 +349,7 @@
 				unavailable++
 			}
 		})
-		ctx, cancel := context.WithCancel(context.Background())
-		ended := make(chan struct{})
-		go func() { d.Run(ctx); close(ended) }()
-		d.Ask(true)
-		time.Sleep(time.Minute)
-		cancel()
-		<-ended
+		runForAMinute(d, true)
 		if unavailable == 0 {
 			t.Fatal("the failed calls were not told of")
 		}
@@ -367,6 +361,17 @@
 	})
 }
 
+// runForAMinute runs a client with one wish to be kept told, or not to be.
+func runForAMinute(d *Client, wish bool) {
+	ctx, cancel := context.WithCancel(context.Background())
+	ended := make(chan struct{})
+	go func() { d.Run(ctx); close(ended) }()
+	d.Ask(wish)
+	time.Sleep(time.Minute)
+	cancel()
+	<-ended
+}
+
 // turnAway answers each call on a connection with 503, and counts it.
 func turnAway(c net.Conn, count func()) {
 	defer c.Close()
@@ -391,13 +396,7 @@
 				calls++
 				return nil, errors.New("refused")
 			}}, func(News) {})
-		ctx, cancel := context.WithCancel(context.Background())
-		ended := make(chan struct{})
-		go func() { d.Run(ctx); close(ended) }()
-		d.Ask(false)
-		time.Sleep(time.Minute)
-		cancel()
-		<-ended
+		runForAMinute(d, false)
 		if calls != 0 {
 			t.Errorf("%d calls", calls)
 		}
