--- a/internal/node/client_request.go
+++ b/internal/node/client_request.go
@@ -48,57 +48,51 @@
 	clientLeft                            // no answer is owed any more
 )
 
+// open tells whether nobody has ended the request.
+func (s requestState) open() bool { return s == requestOpen || s == requestTried }
+
 // begin makes a request ready for the loop.
 func (x *clientRequest) begin() {
 	x.reply = make(chan answer, 1)
 	x.left, x.leave = context.WithCancel(context.Background())
 }
 
-// move changes the state by next, which is given an open state and returns the new one. It reports the new state, or false
-// where somebody has ended the request.
-func (x *clientRequest) move(next func(requestState) requestState) (requestState, bool) {
+// move changes the state by next, which is given an open state and returns the new one. It reports false where somebody has
+// ended the request.
+func (x *clientRequest) move(next func(requestState) requestState) bool {
 	for {
 		old := x.currentState()
-		if old != requestOpen && old != requestTried {
-			return old, false
+		if !old.open() {
+			return false
 		}
-		if to := next(old); x.state.CompareAndSwap(int32(old), int32(to)) {
-			return to, true
+		if x.state.CompareAndSwap(int32(old), int32(next(old))) {
+			return true
 		}
 	}
 }
 
 // claim ends a request, or reports false where somebody has.
 func (x *clientRequest) claim(by requestState) bool {
-	_, ok := x.move(func(requestState) requestState { return by })
-	return ok
+	return x.move(func(requestState) requestState { return by })
 }
 
 // try notes that an attempt is about to begin, or reports false where the request has ended.
 func (x *clientRequest) try() bool {
-	_, ok := x.move(func(requestState) requestState { return requestTried })
-	return ok
+	return x.move(func(requestState) requestState { return requestTried })
 }
 
 // claimByHandler is claim for a handler that answers in the loop's place.
 func (x *clientRequest) claimByHandler() bool {
-	_, ok := x.move(func(old requestState) requestState {
+	return x.move(func(old requestState) requestState {
 		if old == requestTried {
 			return timedOutByHandler
 		}
 		return refusedByHandler
 	})
-	return ok
 }
 
 func (x *clientRequest) currentState() requestState { return requestState(x.state.Load()) }
 
-// isOpen tells whether nobody has ended the request.
-func (x *clientRequest) isOpen() bool {
-	state := x.currentState()
-	return state == requestOpen || state == requestTried
-}
-
 // answerUnseen answers a request that the module has not been told of, unless it is ended.
 func (x *clientRequest) answerUnseen(a answer) bool {
 	if !x.claim(answeredByLoop) {
@@ -114,7 +108,7 @@
 	if x.currentState() == timedOutByHandler {
 		return answer{status: http.StatusGatewayTimeout}
 	}
-	return answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter}
+	return ownRefusal()
 }
 
 // margin is how long before its client stops waiting a request's time is up.
@@ -144,6 +138,11 @@
 	reserved    *reservation // of the room for the body
 }
 
+// ownRefusal is what a client gets whose request the node turns away by itself, and of which nothing ran.
+func ownRefusal() answer {
+	return answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter}
+}
+
 // drop is for an answer that nobody gets.
 func (a answer) drop() {
 	a.reserved.release()
--- a/internal/node/client_request_test.go
+++ b/internal/node/client_request_test.go
@@ -39,7 +39,7 @@
 				}
 				return x.claim(by)
 			}
-			if !x.isOpen() || !end(first) || x.isOpen() {
+			if !x.currentState().open() || !end(first) || x.currentState().open() {
 				t.Fatalf("state %d: it can't be ended", first)
 			}
 			state := x.currentState()
--- a/internal/node/final_answers.go
+++ b/internal/node/final_answers.go
@@ -68,7 +68,7 @@
 func (l *loop) stop(ctx context.Context, r *request) {
 	a := answer{status: http.StatusBadGateway}
 	if r.currentState() == requestOpen { // and the loop alone tries
-		a = answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter}
+		a = ownRefusal()
 	}
 	l.overrule(ctx, r, a, endedByStop)
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -234,7 +234,7 @@
 
 // shed turns a request away that the module has not seen.
 func (l *loop) shed(x *clientRequest) {
-	if x.answerUnseen(answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter}) {
+	if x.answerUnseen(ownRefusal()) {
 		l.trace.shed(shedForLag)
 	}
 }
@@ -299,7 +299,7 @@
 }
 
 func (l *loop) arrive(ctx context.Context, x *clientRequest) {
-	if !x.isOpen() { // its handler has answered, or its client has left
+	if !x.currentState().open() { // its handler has answered, or its client has left
 		return
 	}
 	// The module would wait for the first of an id and never answer this one; and what came under an
@@ -309,7 +309,7 @@
 		return
 	}
 	if l.stopping || l.maxOpen > 0 && l.owed >= l.maxOpen {
-		x.answerUnseen(answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter})
+		x.answerUnseen(ownRefusal())
 		return
 	}
 	r := &request{clientRequest: x}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -107,7 +107,7 @@
 	if s.loop.shedder.refuses(time.Now(), s.loop.events.oldestArrival()) {
 		s.loop.shedder.atArrival.Add(1)
 		s.loop.metrics.countShed(shedAtArrival)
-		s.answer(w, r, x, answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter})
+		s.answer(w, r, x, ownRefusal())
 		return
 	}
 	if x.rest == nil { // while it was read, or waited for room or for its turn
@@ -117,7 +117,7 @@
 			panic(http.ErrAbortHandler)
 		case hidden:
 			s.loop.monitor.Deny(invariant.AttemptAfterDeparture)
-			s.answer(w, r, x, answer{status: http.StatusServiceUnavailable, retryAfter: ownRetryAfter})
+			s.answer(w, r, x, ownRefusal())
 			return
 		}
 	}
