--- a/internal/node/metrics.go
+++ b/internal/node/metrics.go
@@ -68,11 +68,13 @@
 	histogram := func(name, help string, least float64) prometheus.Histogram {
 		return prometheus.NewHistogram(prometheus.HistogramOpts{Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(least, 4, 10)})
 	}
+	histograms := func(name, help string, least float64, label string) *prometheus.HistogramVec {
+		return prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: name, Help: help, Buckets: prometheus.ExponentialBuckets(least, 4, 10)}, []string{label})
+	}
 	m.loopLag = histogram("wayhold_loop_lag_seconds", "Time that events waited for the decision loop.", 1e-5)
-	m.loopWork = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "wayhold_loop_work_seconds",
-		Help: "Time that the decision loop took for an event, by its kind.", Buckets: prometheus.ExponentialBuckets(1e-6, 4, 10)}, []string{"event"})
-	m.heldTime = prometheus.NewHistogramVec(prometheus.HistogramOpts{Name: "wayhold_request_held_seconds",
-		Help: "Time from a request's arrival to its first attempt (sent), or to its end without one, by the reason.", Buckets: prometheus.ExponentialBuckets(1e-5, 4, 10)}, []string{"end"})
+	m.loopWork = histograms("wayhold_loop_work_seconds", "Time that the decision loop took for an event, by its kind.", 1e-6, "event")
+	m.heldTime = histograms("wayhold_request_held_seconds",
+		"Time from a request's arrival to its first attempt (sent), or to its end without one, by the reason.", 1e-5, "end")
 	m.listDelay = histogram("wayhold_list_in_force_seconds", "Time from when news of the list was heard to when decisions went by it.", 1e-5)
 	m.held = prometheus.NewGauge(prometheus.GaugeOpts{Name: "wayhold_requests_held", Help: "Requests that wait for a server."})
 	m.registry.MustRegister(m.loopLag, m.loopWork, m.heldTime, m.listDelay, m.held)
