--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -581,12 +581,7 @@
 			whole <- n
 			_, _ = io.WriteString(c, "HTTP/1.1 200 OK\r\nContent-Length: 2\r\n\r\nok")
 		})
-		l, _ := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
-			if e, ok := ev.(policy.Request); ok {
-				return sends(e.ID, 1)
-			}
-			return nil
-		})
+		l, _ := startLoop(t, addr, sendEach)
 		if !room {
 			c := tryReserve(l.up.memory.held, int64(budgetPart*64*(1<<20)))
 			if c == nil {
--- a/internal/node/crossings_test.go
+++ b/internal/node/crossings_test.go
@@ -125,12 +125,7 @@
 func TestNothingBeginsAfterTheFinish(t *testing.T) {
 	got := make(chan string, 10)
 	addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) { got <- r.Header.Get("X-Request-Id") })
-	l, module := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
-		if e, ok := ev.(policy.Request); ok {
-			return sends(e.ID, 1)
-		}
-		return nil
-	})
+	l, module := startLoop(t, addr, sendEach)
 	l.send(finish{})
 	if a := receive(t, "an answer", l.arriveNow("r1", long).reply); a.status != http.StatusServiceUnavailable {
 		t.Errorf("%+v, want a refusal", a)
--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -171,12 +171,7 @@
 			got := make(chan string, 10)
 			addr := httpServer(t, func(_ http.ResponseWriter, r *http.Request) { got <- r.Header.Get("X-Request-Id") })
 			dialling, dials := make(chan struct{}), atomic.Int32{}
-			l, module := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
-				if e, ok := ev.(policy.Request); ok {
-					return sends(e.ID, 1)
-				}
-				return nil // no Cancel
-			})
+			l, module := startLoop(t, addr, sendEach)
 			dial := l.up.dial
 			l.up.dial = func(ctx context.Context, network, addr string) (net.Conn, error) {
 				if dials.Add(1) > 1 {
--- a/internal/node/late_loop_test.go
+++ b/internal/node/late_loop_test.go
@@ -94,12 +94,7 @@
 // nothing of it once it goes on.
 func TestARequestIsAnsweredInTimeWhileTheLoopIsLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newLateNode(t, func(_ policy.Time, ev policy.Event) []policy.Action {
-			if e, ok := ev.(policy.Request); ok {
-				return sends(e.ID, 1)
-			}
-			return nil
-		})
+		n := newLateNode(t, sendEach)
 		const waits = 300 * time.Millisecond
 		began := time.Now()
 		answered := n.serve("late", waits)
@@ -125,12 +120,7 @@
 // What discovery has told binds the attempts of all requests that the loop had not taken up by then.
 func TestNothingGoesToADrainHeardWhileTheLoopIsLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newLateNode(t, func(_ policy.Time, ev policy.Event) []policy.Action {
-			if e, ok := ev.(policy.Request); ok {
-				return sends(e.ID, 1)
-			}
-			return nil
-		})
+		n := newLateNode(t, sendEach)
 		n.serve("behind", long)
 		synctest.Wait()
 		n.serve(blocking+"-again", long) // the attempt is under way while the loop stands still again
@@ -173,12 +163,7 @@
 // A client that has left is let go at once, also where the loop stands still: its connection is another's.
 func TestWhoLeavesIsLetGoWhileTheLoopIsLate(t *testing.T) {
 	synctest.Test(t, func(t *testing.T) {
-		n := newLateNode(t, func(_ policy.Time, ev policy.Event) []policy.Action {
-			if e, ok := ev.(policy.Request); ok {
-				return sends(e.ID, 1)
-			}
-			return nil
-		})
+		n := newLateNode(t, sendEach)
 		ctx, leave := context.WithCancel(context.Background())
 		ended := n.serveUntil(ctx, "leaver", long)
 		synctest.Wait()
--- a/internal/node/loop_test.go
+++ b/internal/node/loop_test.go
@@ -96,6 +96,14 @@
 	return all
 }
 
+// sendEach is a script that sends each request once, and asks for nothing else: not even that an attempt is called off.
+func sendEach(_ policy.Time, ev policy.Event) []policy.Action {
+	if e, ok := ev.(policy.Request); ok {
+		return sends(e.ID, 1)
+	}
+	return nil
+}
+
 // The restored list comes first, and the one outcome of a served request says that it has ended.
 func TestOrderOfEvents(t *testing.T) {
 	addr := httpServer(t, func(w http.ResponseWriter, _ *http.Request) { fmt.Fprint(w, "yes") })
--- a/internal/node/server_test.go
+++ b/internal/node/server_test.go
@@ -254,12 +254,7 @@
 // While a node stops, its answers end their connections, and the front is told that it isn't ready.
 func TestStoppingNodeEndsConnections(t *testing.T) {
 	addr := httpServer(t, func(http.ResponseWriter, *http.Request) {})
-	l, _ := startLoop(t, addr, func(_ policy.Time, ev policy.Event) []policy.Action {
-		if e, ok := ev.(policy.Request); ok {
-			return sends(e.ID, 1)
-		}
-		return nil
-	})
+	l, _ := startLoop(t, addr, sendEach)
 	s := newServer(testConfig(t, knownList(addr)), l)
 	node := httpServer(t, s.ServeHTTP)
 	s.life.load()
