--- a/internal/discovery/discovery.go
+++ b/internal/discovery/discovery.go
@@ -450,7 +450,7 @@
 	}
 	var late <-chan time.Time // nil: nothing is asked for without a wish
 	if !d.declined {
-		timer := time.NewTimer(d.wishLatest())
+		timer := time.NewTimer(d.longestWishWait())
 		defer timer.Stop()
 		late = timer.C
 	}
@@ -466,8 +466,8 @@
 	}
 }
 
-// wishLatest is how long the next call waits for the module's wish.
-func (d *Client) wishLatest() time.Duration {
+// longestWishWait is how long the next call waits for the module's wish.
+func (d *Client) longestWishWait() time.Duration {
 	if d.failed == 0 {
 		return firstWishLatest
 	}
--- a/internal/node/request_reader.go
+++ b/internal/node/request_reader.go
@@ -56,7 +56,7 @@
 	x = &clientRequest{method: method, length: r.ContentLength, client: clientOf(r)}
 	// No client waits longer than its class allows, whatever it says.
 	x.clientWaits = min(time.Duration(waits)*time.Millisecond, class.Deadline)
-	if err := s.take(w, r, x); err != nil {
+	if err := s.readBody(w, r, x); err != nil {
 		x.reserved.release()
 		status, problem = bodyProblem(err)
 		return nil, status, problem
@@ -74,8 +74,8 @@
 	return x, 0, ""
 }
 
-// take reads a body that is small whole, and of a large one as much as is held; the rest goes on as it comes.
-func (s *server) take(w http.ResponseWriter, r *http.Request, x *clientRequest) (err error) {
+// readBody reads a body that is small whole, and of a large one as much as is held; the rest goes on as it comes.
+func (s *server) readBody(w http.ResponseWriter, r *http.Request, x *clientRequest) (err error) {
 	if x.length == 0 {
 		return nil
 	}
@@ -83,12 +83,12 @@
 	if c := clientOf(r); c != nil {
 		began = c.expect(x.length)
 	}
-	room, hold := s.memory.requests, x.length
+	budget, hold := s.memory.requests, x.length
 	switch {
 	case x.length < 0:
 		hold = wholeBody + 1 // the last byte tells whether it is large
 	case x.length > wholeBody:
-		room, hold = s.memory.largeRequests, wholeBody
+		budget, hold = s.memory.largeRequests, wholeBody
 		// Held whole, it takes up a server only once all of it has come, and can be sent again.
 		if x.length <= heldBody {
 			if x.reserved = tryReserve(s.memory.held, x.length); x.reserved != nil {
@@ -97,7 +97,7 @@
 		}
 	}
 	if x.reserved == nil {
-		if x.reserved, err = s.waitForMemory(r, x, room, hold); err != nil {
+		if x.reserved, err = s.waitForMemory(r, x, budget, hold); err != nil {
 			return err
 		}
 	}
@@ -122,12 +122,12 @@
 	return err
 }
 
-// waitForMemory takes room for a body, but waits no longer than the client of one that has been written whole: it is owed
-// its final answer whoever holds the room. Of a larger body the rest comes only once there is room. Nobody waits beyond the
+// waitForMemory reserves memory for a body, but waits no longer than the client of one that has been written whole: it is owed
+// its final answer whoever holds it. Of a larger body the rest comes only once there is some. Nobody waits beyond the
 // process's end.
-func (s *server) waitForMemory(r *http.Request, x *clientRequest, room *semaphore.Weighted, bytes int64) (*reservation, error) {
-	if claim := tryReserve(room, bytes); claim != nil {
-		return claim, nil
+func (s *server) waitForMemory(r *http.Request, x *clientRequest, budget *semaphore.Weighted, bytes int64) (*reservation, error) {
+	if reserved := tryReserve(budget, bytes); reserved != nil {
+		return reserved, nil
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
@@ -148,11 +148,11 @@
 			}
 		}
 	}()
-	claim, err := reserve(ctx, room, bytes)
+	reserved, err := reserve(ctx, budget, bytes)
 	if err != nil && context.Cause(ctx) == errNoMemory {
 		err = errNoMemory
 	}
-	return claim, err
+	return reserved, err
 }
 
 // usableID guards the table of requests and the header it goes on in.
