--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -240,6 +240,9 @@
 	return settings
 }
 
+// Limits are the limits of the nodes that StartNode starts.
+var Limits = map[string]any{"cores": 1.0, "memory_mb": 128, "sockets": 512}
+
 // Node is a process of the node.
 type Node struct {
 	Addr   string
@@ -265,7 +268,7 @@
 	}
 	tmp, configFile, logFile := filepath.Join(n.dir, "tmp"), filepath.Join(n.dir, "config.json"), filepath.Join(n.dir, "log")
 	config, err := json.Marshal(map[string]any{"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
-		"limits": map[string]any{"cores": 1.0, "memory_mb": 128, "sockets": 512},
+		"limits": Limits,
 		"known":  List{Revision: 1, Complete: true, Members: members}, "settings": settings})
 	if err != nil {
 		return nil, err
@@ -314,6 +317,9 @@
 // Signal sends a signal to the process that the run command started.
 func (n *Node) Signal(s syscall.Signal) error { return n.cmd.Process.Signal(s) }
 
+// Pid returns the id of the process.
+func (n *Node) Pid() int { return n.cmd.Process.Pid }
+
 // HasExited reports whether the process has ended.
 func (n *Node) HasExited() bool {
 	select {
