--- a/review/stand/stand.go
+++ b/review/stand/stand.go
@@ -146,8 +146,10 @@
 	ID, Addr string
 	// Handle answers a request. It returns false if the connection is to be closed.
 	Handle func(c *Call) bool
-	// OnRead, if set, is called before and after each read from a connection.
-	OnRead func()
+	// ResetAfter, if set, returns after how many bytes of the body the connection is reset; -1: never.
+	// ResetWait returns how long it waits before that.
+	ResetAfter func(c *Call) int64
+	ResetWait  func() time.Duration
 }
 
 // Start listens on a free port.
@@ -169,23 +171,9 @@
 	return nil
 }
 
-// gated is a reader that calls a function before and after each read.
-type gated struct {
-	io.Reader
-	onRead func()
-}
-
-func (g gated) Read(p []byte) (int, error) {
-	if g.onRead != nil {
-		g.onRead()
-		defer g.onRead()
-	}
-	return g.Reader.Read(p)
-}
-
 func (t *Transcriber) serve(conn *net.TCPConn) {
 	defer conn.Close()
-	in := bufio.NewReader(gated{conn, t.OnRead})
+	in := bufio.NewReader(conn)
 	for {
 		if _, err := in.Peek(1); err != nil {
 			return
@@ -196,6 +184,14 @@
 			return
 		}
 		c.ID, c.Key = r.Header.Get("X-Request-Id"), r.Header.Get("Idempotency-Key")
+		if t.ResetAfter != nil {
+			if n := t.ResetAfter(c); n >= 0 {
+				_, _ = io.CopyN(io.Discard, r.Body, n)
+				time.Sleep(t.ResetWait())
+				_ = conn.SetLinger(0) // Close sends a reset
+				return
+			}
+		}
 		if c.Body, err = io.Copy(io.Discard, r.Body); err != nil {
 			return
 		}
@@ -232,7 +228,7 @@
 	 "services": [{"aim": 1500.0, "deadline": 3000.0, "group": "all", "lateWorth": 0.0, "name": "transcript-get", "repeat": "free", "stream": false, "value": 1.0, "window": 5000.0},
 	  {"aim": 750.0, "deadline": 2500.0, "group": "cell", "lateWorth": 0.0, "name": "mark-read", "repeat": "guarded", "stream": false, "value": 2.0, "window": 12000.0},
 	  {"aim": 2500.0, "deadline": 6000.0, "group": "all", "lateWorth": 0.0, "name": "transcribe-bill", "repeat": "single_shot", "stream": false, "value": 5.0, "window": 5000.0}],
-	 "tenants": [{"fraction": 0.5, "name": "marmara-grup", "quotaRps": 48.0}, {"fraction": 0.5, "name": "ege-bayi", "quotaRps": 39.0}], "tick": 5.0, "tier": 0, "tiers": ["yazici-filo"], "weightSource": "none", "worthBy": "work", "zone": "ikitelli"}`
+	 "tenants": [{"fraction": 0.21, "name": "marmara-grup", "quotaRps": 48.0}, {"fraction": 0.17, "name": "ege-bayi", "quotaRps": 39.0}, {"fraction": 0.15, "name": "anadolu-ortak", "quotaRps": 35.0}, {"fraction": 0.14, "name": "karadeniz-bayi", "quotaRps": 32.0}, {"fraction": 0.11, "name": "akdeniz-grup", "quotaRps": 25.0}, {"fraction": 0.09, "name": "trakya-bayi", "quotaRps": 21.0}, {"fraction": 0.05, "name": "icanadolu-ofis", "quotaRps": 12.0}, {"fraction": 0.05, "name": "dogu-bayi", "quotaRps": 12.0}, {"fraction": 0.03, "name": "guneydogu-ofis", "quotaRps": 7.0}], "tick": 5.0, "tier": 0, "tiers": ["yazici-filo"], "weightSource": "none", "worthBy": "work", "zone": "ikitelli"}`
 	var settings map[string]any
 	if err := json.Unmarshal([]byte(text), &settings); err != nil {
 		panic(err)
@@ -240,9 +236,6 @@
 	return settings
 }
 
-// Limits are the limits of the nodes that StartNode starts.
-var Limits = map[string]any{"cores": 1.0, "memory_mb": 128, "sockets": 512}
-
 // Node is a process of the node.
 type Node struct {
 	Addr   string
@@ -268,7 +261,7 @@
 	}
 	tmp, configFile, logFile := filepath.Join(n.dir, "tmp"), filepath.Join(n.dir, "config.json"), filepath.Join(n.dir, "log")
 	config, err := json.Marshal(map[string]any{"name": "n1", "listen": "127.0.0.1:0", "discovery": discovery, "seed": "8c1f30d27a5be964",
-		"limits": Limits,
+		"limits": map[string]any{"cores": 1.0, "memory_mb": 128, "sockets": 512},
 		"known":  List{Revision: 1, Complete: true, Members: members}, "settings": settings})
 	if err != nil {
 		return nil, err
@@ -317,9 +310,6 @@
 // Signal sends a signal to the process that the run command started.
 func (n *Node) Signal(s syscall.Signal) error { return n.cmd.Process.Signal(s) }
 
-// Pid returns the id of the process.
-func (n *Node) Pid() int { return n.cmd.Process.Pid }
-
 // HasExited reports whether the process has ended.
 func (n *Node) HasExited() bool {
 	select {
@@ -371,16 +361,3 @@
 	}
 	return c.(*net.TCPConn), nil
 }
-
-// Unacknowledged returns how many written bytes the other machine has not acknowledged yet (SIOCOUTQ).
-func Unacknowledged(c *net.TCPConn) (n int, err error) {
-	raw, err := c.SyscallConn()
-	if err != nil {
-		return 0, err
-	}
-	var failed error
-	if err := raw.Control(func(fd uintptr) { n, failed = outq(int(fd)) }); err != nil {
-		return 0, err
-	}
-	return n, failed
-}
