Count a request whose connection is closed while its client is still connected

Neither log nor metrics told a departure from a read that the node itself had interrupted: net/http cancels a request's context after any failed read.

Before a connection is closed for a departure, the socket is asked whether the client has closed it. If it hasn't, the invariant request_unanswered is violated: it is counted, exported, and logged with the request's id. presence() now also knows a client that has left before its request was complete.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -336,7 +336,10 @@
 		c.owner.mu.Lock()
 		defer c.owner.mu.Unlock()
 		switch {
-		case !c.inFlight:
+		case !c.inFlight: // the request isn't complete: nothing is read ahead
+			if peerClosed(int(fd)) {
+				result = clientDeparted
+			}
 		case isDisconnect(c.fillReadAhead(int(fd))):
 			result = clientDeparted
 		case !c.readAheadFullSince.IsZero() && unreadBytes(int(fd)) >= minUnreadHidingFIN:
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -113,8 +113,7 @@
 	if x.bodyRest == nil { // the client may have disconnected during the read, or while the request waited
 		switch c.presence() {
 		case clientDeparted:
-			x.client.countClosed(closedByClient)
-			panic(http.ErrAbortHandler)
+			s.abort(x)
 		case presenceUnknown:
 			s.loop.monitor.RecordDenial(invariant.AttemptAfterDeparture)
 			s.respond(w, r, x, nodeRefusal())
@@ -140,8 +139,7 @@
 		s.answerByHandler(w, r, x)
 	case <-r.Context().Done():
 		s.reportDeparture(x)
-		x.client.countClosed(closedByClient)
-		panic(http.ErrAbortHandler) // otherwise a client that only closed its sending side would get a 200
+		s.abort(x)
 	case <-bodyFailed:
 		s.reportDeparture(x)
 		status, problem := bodyErrorStatus(x.bodyRest.failure())
@@ -174,6 +172,17 @@
 	}
 }
 
+// abort closes the connection of a client that has disconnected, without an answer: otherwise a client that only closed its
+// sending side would get a 200. That net/http considers the client gone is checked against the socket: a request that was
+// received from a client that is still connected must have its answer (PROTOCOL).
+func (s *server) abort(x *clientRequest) {
+	if x.client != nil && x.client.presence() == clientPresent {
+		s.loop.monitor.RecordViolation(invariant.RequestUnanswered, x.req.ID, "err", "the client is still connected")
+	}
+	x.client.countClosed(closedByClient)
+	panic(http.ErrAbortHandler)
+}
+
 // writeReadiness reports to the front whether it may send clients.
 func (s *server) writeReadiness(w http.ResponseWriter) {
 	if s.lifecycle.closesAfterAnswer() {
