Answer an upload whose server fails, in place of closing its client's connection

Cause: to end its own wait for the client, an attempt set the read deadline of the client's connection to the past. net/http cancels a request's context after any failed read, and the handler took that for a departure. Ruled out: closes after an answer, since none had got that far.

An attempt now stops its own stream and touches neither the client's connection nor the body; a read in progress goes on, and what it brings is dropped. Until a body is complete, only the upload says why a read failed. After an early answer the rest is read and dropped, as it was before where no attempt had begun to forward it.

Same cause, same change: a client that sends too slowly gets its 408 and no reset; a stopped attempt doesn't spoil a body that another one may still send; a writer can't put off the write deadline that is to end it; an attempt whose request has its answer ends as cancelled, and not as the server's failure.

TestEarlyRefusalStopsUpload interrupted the client's read itself; it now wants the outcome while the client sends nothing, which the tree before never gave.

--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -232,7 +232,8 @@
 	}
 }
 
-// A server that refuses a request before it has received the complete body has not run it. The rest is not sent.
+// A server that refuses a request before it has received the complete body has not run it. The rest is not sent, and the
+// attempt ends although the client sends nothing: its connection must not be touched for that.
 func TestEarlyRefusalStopsUpload(t *testing.T) {
 	addr := startTCPServer(t, func(c net.Conn, r *bufio.Reader) {
 		_, _ = r.Peek(1)
@@ -240,23 +241,21 @@
 		_, _ = r.ReadByte()
 		_, _ = io.Copy(io.Discard, r)
 	})
-	blocked, unblock := io.Pipe()
+	rest, client := io.Pipe()
+	defer client.Close()
 	u := testUpstream(t, addr)
-	x := newStreamedRequest(t, "r1", blocked, 8<<20)
+	x := newStreamedRequest(t, "r1", rest, 8<<20)
 	done := make(chan attemptResult, 1)
 	go func() { done <- runAttemptOn(t.Context(), u, "s0", x, time.Now().Add(testTimeout)) }()
-	await(t, "the upload to be stopped", func() bool {
-		x.bodyRest.mu.Lock()
-		defer x.bodyRest.mu.Unlock()
-		return x.bodyRest.stopped
-	})
-	unblock.CloseWithError(errStopped) // as the read deadline does on a real connection
 	if r := receive(t, "the outcome", done); r.code != policy.Full {
 		t.Errorf("code %v, want full", r.code)
 	}
 	if open, _ := u.connCounts("s0"); open != 0 {
 		t.Errorf("%d connections are still open", open)
 	}
+	if err := x.bodyRest.failure(); err != nil {
+		t.Errorf("the upload failed with %v, although its client did nothing wrong", err)
+	}
 }
 
 // A response that arrives as soon as the last byte was sent is not an early one, even if the writing goroutine has not
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -48,8 +48,8 @@
 	}
 	if err != nil && !early {
 		code := classifyError(ctx, err, false)
-		if e.clientRequest.bodyRest != nil && e.clientRequest.bodyRest.failure() != nil {
-			code = policy.Cancelled // the client failed, not the server
+		if rest := e.clientRequest.bodyRest; rest != nil && (rest.failure() != nil || e.clientRequest.ctx.Err() != nil) {
+			code = policy.Cancelled // the client failed or needs no answer any more; the server did not fail
 		}
 		return attemptResult{code: code, err: err}, false
 	}
@@ -73,7 +73,7 @@
 	buf := e.bufferPool.Get().(*bytes.Buffer)
 	defer e.bufferPool.Put(buf)
 	buf.Reset()
-	if err := e.newServerRequest(e.clientRequest).Write(buf); err != nil {
+	if err := e.newServerRequest(e.clientRequest, nil).Write(buf); err != nil {
 		return err
 	}
 	_, err := writeWithRetry(e.conn, buf.Bytes())
@@ -225,8 +225,8 @@
 	return policy.Reset
 }
 
-// newServerRequest returns the request to send to the server for x.
-func (e *exchange) newServerRequest(x *clientRequest) *http.Request {
+// newServerRequest returns the request to send to the server for x. rest is the part of a large body that is not in memory.
+func (e *exchange) newServerRequest(x *clientRequest, rest io.Reader) *http.Request {
 	target := *x.url
 	target.Scheme, target.Host = "http", e.conn.pool.addr
 	req := &http.Request{Method: x.method, URL: &target, Host: x.host, Proto: "HTTP/1.1", ProtoMajor: 1,
@@ -241,7 +241,7 @@
 	req.Header.Set("X-Deadline-Ms", strconv.FormatInt(e.deadlineHeaderMs(x), 10))
 	switch {
 	case x.bodyRest != nil:
-		body := io.MultiReader(bytes.NewReader(x.body), bodyRestReader{x})
+		body := io.MultiReader(bytes.NewReader(x.body), rest)
 		if x.length >= 0 { // otherwise net/http tries to read past the end, which may block until the response has arrived
 			body = io.LimitReader(body, x.length)
 		}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -3,30 +3,34 @@
 import (
 	"context"
 	"net"
+	"sync"
 	"syscall"
 	"time"
 )
 
-// streamRequest forwards a request while its body arrives. If the server responds before the end, most likely with a
-// refusal, the rest of the body is not sent and early is true.
+// streamRequest forwards a request while its body arrives. If the server responds or breaks the connection before the end,
+// the rest of the body is not sent and early is true. It never waits for the client then, nor touches the client's
+// connection: net/http takes every failed read of a request for a client that has left.
 func (e *exchange) streamRequest(ctx context.Context) (early bool, err error) {
 	began := time.Now()
-	done := make(chan error, 1)
-	go func() { done <- e.newServerRequest(e.clientRequest).Write(stallWriter{e.conn.TCPConn}) }()
+	stream := &requestStream{request: e.clientRequest, conn: e.conn.TCPConn}
+	request := e.newServerRequest(e.clientRequest, stream)
+	written := make(chan error, 1)
+	go func() { written <- request.Write(stream) }()
 	answered := make(chan struct{})
 	go func() { // reads nothing, and ends at the latest when the connection is closed
 		defer close(answered)
 		e.conn.waitReadable()
 	}()
 	select {
-	case err = <-done:
+	case err = <-written:
 	case <-answered:
 		// The writer may have sent the last byte without having returned yet, and a request sent completely may have run.
-		if !e.clientRequest.bodyRest.isComplete() {
-			e.clientRequest.bodyRest.stop()
-			_ = e.conn.SetWriteDeadline(time.Unix(1, 0))
+		if !e.clientRequest.bodyRest.isComplete() && stream.stop() {
+			err = errStopped // the writer ends once the client sends more or fails to
+		} else {
+			err = <-written
 		}
-		err = <-done
 		early = err != nil
 	}
 	if err != nil {
@@ -45,29 +49,84 @@
 	return false, nil
 }
 
-// stallWriter is a writer that fails once the peer accepts nothing for stallTimeout.
-type stallWriter struct{ *net.TCPConn }
+// requestStream forwards one large request to one server. It is both the source of the part of the body that is not in
+// memory and the destination of the request. After stop neither reads or writes any more, and the body is left to others.
+type requestStream struct {
+	request *clientRequest
+	conn    *net.TCPConn
 
-func (w stallWriter) Write(p []byte) (n int, err error) {
+	mu      sync.Mutex
+	stopped bool
+	reading bool // a read from the client is in progress
+}
+
+// stop ends the forwarding. A blocked write to the server fails at once. stop returns true if a read from the client is in
+// progress; then the end of the body has not been sent.
+func (s *requestStream) stop() (reading bool) {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.stopped = true
+	_ = s.conn.SetWriteDeadline(time.Unix(1, 0)) // fails only on a closed connection
+	return s.reading
+}
+
+// Read reads from the part of the body that is not in memory yet.
+func (s *requestStream) Read(p []byte) (int, error) {
+	if !s.beginRead() {
+		return 0, errStopped
+	}
+	n, err := s.request.bodyRest.readWhile(s.request.ctx, p)
+	if !s.endRead() {
+		return 0, errStopped
+	}
+	return n, err
+}
+
+// beginRead returns false if the stream was stopped. The first read releases the memory of the part of the body that was
+// held, so that the request can't be sent again.
+func (s *requestStream) beginRead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if s.stopped {
+		return false
+	}
+	s.reading = true
+	if !s.request.bodyRest.forwarded.Swap(true) {
+		s.request.body = nil
+		s.request.reserved.resize(pieceSize)
+	}
+	return true
+}
+
+// endRead returns false if the stream was stopped during the read.
+func (s *requestStream) endRead() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	s.reading = false
+	return !s.stopped
+}
+
+// Write writes to the server. It fails once the server accepts nothing for stallTimeout.
+func (s *requestStream) Write(p []byte) (n int, err error) {
 	for n < len(p) && err == nil {
+		if !s.extendWriteDeadline() {
+			return n, errStopped
+		}
 		var m int
-		_ = w.SetWriteDeadline(time.Now().Add(stallTimeout))
-		m, err = w.TCPConn.Write(p[n:min(len(p), n+pieceSize)])
+		m, err = s.conn.Write(p[n:min(len(p), n+pieceSize)])
 		n += m
 	}
 	return n, err
 }
 
-// bodyRestReader reads the part of a large body that is not in memory yet. The first read releases the memory of the part
-// that is.
-type bodyRestReader struct{ request *clientRequest }
-
-func (b bodyRestReader) Read(p []byte) (int, error) {
-	if !b.request.bodyRest.forwarded.Swap(true) {
-		b.request.body = nil
-		b.request.reserved.resize(pieceSize)
+// extendWriteDeadline returns false if the stream was stopped.
+func (s *requestStream) extendWriteDeadline() bool {
+	s.mu.Lock()
+	defer s.mu.Unlock()
+	if !s.stopped {
+		_ = s.conn.SetWriteDeadline(time.Now().Add(stallTimeout))
 	}
-	return b.request.bodyRest.Read(p)
+	return !s.stopped
 }
 
 // waitReadable waits until there is something to read or the connection has ended.
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -87,12 +87,8 @@
 // acceptable rate: many clients read the response only after they have written the whole request, and would not receive
 // it if the connection were closed before.
 func (s *server) discardRest(w http.ResponseWriter, x *clientRequest) {
-	x.reserved.release()
-	if x.bodyRest.forwarded.Swap(true) { // an attempt is reading it
-		x.bodyRest.stop()
-		_ = http.NewResponseController(w).SetReadDeadline(time.Now().Add(lingerTimeout)) // as in reject
-		return
-	}
+	x.cancel() // no attempt reads any more of the body
+	x.reserved.resize(pieceSize)
 	if err := http.NewResponseController(w).Flush(); err != nil {
 		return
 	}
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -120,32 +120,45 @@
 			return
 		}
 	}
-	var bodyFailed <-chan struct{}
-	if x.bodyRest != nil {
-		bodyFailed = x.bodyRest.failed
-	}
 	x.handlerTimer = time.NewTimer(time.Until(x.handlerDeadline(s.loop.clock)))
 	defer x.handlerTimer.Stop()
 	if x.bodyRest != nil { // later, since the body is still to be forwarded
 		x.handlerTimer.Reset(time.Until(x.handlerDeadline(s.loop.clock)) + maxUploadTime)
 	}
 	s.loop.send(arrival{x})
-	select {
-	case a := <-x.reply:
-		s.respond(w, r, x, a)
-	case <-x.handlerTimer.C:
-		s.answerByHandler(w, r, x)
-	case <-s.answerNow:
-		s.answerByHandler(w, r, x)
-	case <-r.Context().Done():
-		s.reportDeparture(x)
-		s.abort(x)
-	case <-bodyFailed:
-		s.reportDeparture(x)
-		status, problem := bodyErrorStatus(x.bodyRest.failure())
-		reject(w, c, status, problem)
-	case <-s.loop.done:
-		w.WriteHeader(http.StatusBadGateway)
+	s.awaitAnswer(w, r, x)
+}
+
+// awaitAnswer waits until a request has ended, and answers it.
+func (s *server) awaitAnswer(w http.ResponseWriter, r *http.Request, x *clientRequest) {
+	clientLeft := r.Context().Done()
+	var bodyComplete, bodyFailed <-chan struct{}
+	if x.bodyRest != nil {
+		// net/http ends the context for every read that fails. Before the end of the body, only the upload knows the reason.
+		clientLeft, bodyComplete, bodyFailed = nil, x.bodyRest.complete, x.bodyRest.failed
+	}
+	for {
+		select {
+		case a := <-x.reply:
+			s.respond(w, r, x, a)
+		case <-x.handlerTimer.C:
+			s.answerByHandler(w, r, x)
+		case <-s.answerNow:
+			s.answerByHandler(w, r, x)
+		case <-bodyComplete:
+			clientLeft, bodyComplete = r.Context().Done(), nil
+			continue
+		case <-clientLeft:
+			s.reportDeparture(x)
+			s.abort(x)
+		case <-bodyFailed:
+			s.reportDeparture(x)
+			status, problem := bodyErrorStatus(x.bodyRest.failure())
+			reject(w, x.client, status, problem)
+		case <-s.loop.done:
+			w.WriteHeader(http.StatusBadGateway)
+		}
+		return
 	}
 }
 
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -1,6 +1,7 @@
 package node
 
 import (
+	"context"
 	"errors"
 	"io"
 	"net/http"
@@ -26,46 +27,54 @@
 	errStopped  = errors.New("the body is not wanted any more")
 )
 
-// upload is a request body that is being received from a client.
+// upload is a request body that is being received from a client. An attempt reads it while it forwards it; whoever reads it
+// after that gets what follows.
 type upload struct {
 	controller *http.ResponseController
 	client     *clientConn // nil if the connection was accepted by another listener
 	body       io.Reader
 	grace      time.Duration
+	complete   chan struct{} // closed when the last byte has been read
 	failed     chan struct{} // closed when the body can't be received completely, because of the client
+	forwarded  atomic.Bool   // bytes beyond the held ones may have been forwarded, so the body can't be sent again
 
-	mu      sync.Mutex
-	stopped bool
-	ended   bool  // the last byte has been read
-	err     error // why failed was closed
+	mu  sync.Mutex
+	err error // why failed was closed
 
-	// Used only by the goroutine that reads the body, except for forwarded.
-	limiter   rateLimiter
-	waited    time.Duration
-	received  int64
-	forwarded atomic.Bool // bytes beyond the held ones have been forwarded, so the body can't be sent again
+	reading  sync.Mutex // held during a read; guards the following
+	limiter  rateLimiter
+	waited   time.Duration
+	received int64
 }
 
 // newUpload reads the body of a request whose head began to arrive the given time ago. Head and body share
 // slowClientLimit, so that a client that sends both very slowly is disconnected in time.
 func newUpload(w http.ResponseWriter, client *clientConn, body io.Reader, elapsed time.Duration, rate float64) *upload {
-	return &upload{controller: http.NewResponseController(w), client: client, body: body, failed: make(chan struct{}), limiter: rateLimiter{rate: rate},
+	return &upload{controller: http.NewResponseController(w), client: client, body: body,
+		complete: make(chan struct{}), failed: make(chan struct{}), limiter: rateLimiter{rate: rate},
 		grace: min(bodyGrace, max(minReadGrace, slowClientLimit-elapsed))}
 }
 
-func (u *upload) Read(p []byte) (int, error) {
+// Read waits for the next part of the body. It fails if the client sends too slowly or too much.
+func (u *upload) Read(p []byte) (int, error) { return u.readWhile(context.Background(), p) }
+
+// readWhile is Read, but reads nothing once ctx has ended. A read that has begun then is not interrupted: its deadline is
+// the client's, and net/http would take the failed read for a client that has left.
+func (u *upload) readWhile(ctx context.Context, p []byte) (int, error) {
+	u.reading.Lock()
+	defer u.reading.Unlock()
+	switch {
+	case ctx.Err() != nil:
+		return 0, errStopped
+	case u.isComplete():
+		return 0, io.EOF
+	}
 	u.limiter.wait()
 	allowed := u.grace + time.Duration(float64(u.received)/minBodyRate*float64(time.Second)) - u.waited
 	if allowed <= -minReadWait {
 		return 0, u.fail(errTooSlow)
 	}
-	u.mu.Lock()
-	if u.stopped {
-		u.mu.Unlock()
-		return 0, errStopped
-	}
 	_ = u.controller.SetReadDeadline(time.Now().Add(max(minReadWait, allowed))) // fails only on closed connections
-	u.mu.Unlock()
 	began := time.Now()
 	n, err := u.body.Read(p)
 	u.waited += time.Since(began)
@@ -75,15 +84,10 @@
 	case u.received > maxBodySize:
 		return 0, u.fail(errTooLarge)
 	case err == io.EOF:
-		u.mu.Lock()
-		defer u.mu.Unlock()
-		u.ended = true
 		u.client.markBodyRead()
-		if u.stopped {
-			break
-		}
 		// From here on net/http keeps reading to detect a client that disconnects, for as long as the response takes.
 		_ = u.controller.SetReadDeadline(time.Time{})
+		close(u.complete)
 	case err != nil:
 		return n, u.fail(err)
 	}
@@ -94,26 +98,21 @@
 func (u *upload) fail(err error) error {
 	u.mu.Lock()
 	defer u.mu.Unlock()
-	if u.err == nil && !u.stopped {
+	if u.err == nil {
 		u.err = err
 		close(u.failed)
 	}
 	return err
 }
 
-// stop interrupts a read that waits for the client, and makes all later reads fail.
-func (u *upload) stop() {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	u.stopped = true
-	_ = u.controller.SetReadDeadline(time.Unix(1, 0))
-}
-
 // isComplete reports whether the last byte has been read.
 func (u *upload) isComplete() bool {
-	u.mu.Lock()
-	defer u.mu.Unlock()
-	return u.ended
+	select {
+	case <-u.complete:
+		return true
+	default:
+		return false
+	}
 }
 
 // failure returns why the body can't be received completely, or nil.
