Notice a client that leaves while its large request waits for a server

Cause: net/http watches a connection only once the body has been read to its end, which for a streamed body happens in the attempt. Until then the FIN lies behind the unread rest, and both checks (before the decision module, before the first byte) left such requests out; presence() called every client with an incomplete request present.

Where the FIN doesn't fit into the socket's buffer, nobody can know of it before the attempt; it comes with the last bytes, so the end of the body is withheld from the server then, and the request never becomes complete.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -352,6 +352,40 @@
 	return result
 }
 
+// disconnectWatch waits until a client disconnects, while nobody reads from its connection. It reads nothing itself.
+type disconnectWatch struct {
+	conn  *clientConn
+	ended chan struct{}
+}
+
+// watchDisconnect calls disconnected once the client has closed or reset its connection, unless the watch is stopped before.
+// Data that the client sent before that may be unread. The watch must be stopped before anybody reads from the connection.
+func (c *clientConn) watchDisconnect(disconnected func()) *disconnectWatch {
+	if c == nil {
+		return nil
+	}
+	w := &disconnectWatch{conn: c, ended: make(chan struct{})}
+	_ = c.TCPConn.SetReadDeadline(time.Time{}) // fails only on a closed connection
+	go func() {
+		defer close(w.ended)
+		// The function is called again whenever something has arrived.
+		if err := c.raw.Read(func(fd uintptr) bool { return peerClosed(int(fd)) }); err == nil {
+			disconnected()
+		}
+	}()
+	return w
+}
+
+// stop ends the watch. net/http doesn't notice, since no read of its own is interrupted.
+func (w *disconnectWatch) stop() {
+	if w == nil {
+		return
+	}
+	_ = w.conn.TCPConn.SetReadDeadline(time.Unix(1, 0))
+	<-w.ended
+	_ = w.conn.TCPConn.SetReadDeadline(time.Time{})
+}
+
 // hasUnreadBytes reports whether at least length bytes have arrived and are still to be read.
 func (c *clientConn) hasUnreadBytes(length int64) (found bool) {
 	if c == nil {
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -2,6 +2,7 @@
 
 import (
 	"context"
+	"io"
 	"net"
 	"sync"
 	"syscall"
@@ -70,7 +71,9 @@
 	return s.reading
 }
 
-// Read reads from the part of the body that is not in memory yet.
+// Read reads from the part of the body that is not in memory yet. The end of the body of a client that has disconnected is
+// withheld, so that its request never becomes complete at the server: while the body was unread, it may have hidden that
+// the client had left before the attempt began.
 func (s *requestStream) Read(p []byte) (int, error) {
 	if !s.beginRead() {
 		return 0, errStopped
@@ -79,6 +82,9 @@
 	if !s.endRead() {
 		return 0, errStopped
 	}
+	if err == io.EOF && s.request.client.presence() == clientDeparted {
+		return 0, s.request.bodyRest.fail(errClientLeft)
+	}
 	return n, err
 }
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -110,20 +110,20 @@
 		s.respond(w, r, x, nodeRefusal())
 		return
 	}
-	if x.bodyRest == nil { // the client may have disconnected during the read, or while the request waited
-		switch c.presence() {
-		case clientDeparted:
-			s.abort(x)
-		case presenceUnknown:
-			s.loop.monitor.RecordDenial(invariant.AttemptAfterDeparture)
-			s.respond(w, r, x, nodeRefusal())
-			return
-		}
+	switch c.presence() { // the client may have disconnected during the read, or while the request waited
+	case clientDeparted:
+		s.abort(x)
+	case presenceUnknown:
+		s.loop.monitor.RecordDenial(invariant.AttemptAfterDeparture)
+		s.respond(w, r, x, nodeRefusal())
+		return
 	}
 	x.handlerTimer = time.NewTimer(time.Until(x.handlerDeadline(s.loop.clock)))
 	defer x.handlerTimer.Stop()
 	if x.bodyRest != nil { // later, since the body is still to be forwarded
 		x.handlerTimer.Reset(time.Until(x.handlerDeadline(s.loop.clock)) + maxUploadTime)
+		x.bodyRest.watchClient()
+		defer x.bodyRest.stopWatching()
 	}
 	s.loop.send(arrival{x})
 	s.awaitAnswer(w, r, x)
@@ -153,6 +153,9 @@
 			s.abort(x)
 		case <-bodyFailed:
 			s.reportDeparture(x)
+			if x.client.presence() == clientDeparted {
+				s.abort(x)
+			}
 			status, problem := bodyErrorStatus(x.bodyRest.failure())
 			reject(w, x.client, status, problem)
 		case <-s.loop.done:
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -41,7 +41,8 @@
 	mu  sync.Mutex
 	err error // why failed was closed
 
-	reading  sync.Mutex // held during a read; guards the following
+	reading  sync.Mutex       // held during a read; guards the following
+	watch    *disconnectWatch // until the first read; nil: none
 	limiter  rateLimiter
 	waited   time.Duration
 	received int64
@@ -69,6 +70,7 @@
 	case u.isComplete():
 		return 0, io.EOF
 	}
+	u.endWatch()
 	u.limiter.wait()
 	allowed := u.grace + time.Duration(float64(u.received)/minBodyRate*float64(time.Second)) - u.waited
 	if allowed <= -minReadWait {
@@ -94,6 +96,27 @@
 	return n, err
 }
 
+// watchClient makes the upload fail with errClientLeft if the client disconnects before the next read. net/http notices a
+// disconnect only once the body has been read to its end. The caller must call stopWatching in the end.
+func (u *upload) watchClient() {
+	u.reading.Lock()
+	defer u.reading.Unlock()
+	u.watch = u.client.watchDisconnect(func() { _ = u.fail(errClientLeft) })
+}
+
+// stopWatching ends what watchClient began.
+func (u *upload) stopWatching() {
+	u.reading.Lock()
+	defer u.reading.Unlock()
+	u.endWatch()
+}
+
+// endWatch is stopWatching for a caller that holds the mutex reading.
+func (u *upload) endWatch() {
+	u.watch.stop()
+	u.watch = nil
+}
+
 // fail records that the client won't send the complete body.
 func (u *upload) fail(err error) error {
 	u.mu.Lock()
--- a/internal/node/upload_test.go
+++ b/internal/node/upload_test.go
@@ -24,10 +24,14 @@
 	chunked bool
 }
 
-// startOfUpload is how much of the body an uploadClient sends at first: more than the node holds.
-const startOfUpload = maxSmallBody + pieceSize
+const (
+	// startOfUpload is how much of the body an uploadClient sends at first: more than the node holds.
+	startOfUpload = maxSmallBody + pieceSize
+	// uploadSize is the length of the whole body. What the node doesn't hold fits into its socket's buffer.
+	uploadSize = startOfUpload + pieceSize
+)
 
-// startUpload sends the head of a request and the first startOfUpload bytes of its body, which has as many bytes again.
+// startUpload sends the head of a request and the first startOfUpload bytes of its body.
 func startUpload(t *testing.T, node, id string, chunked bool) *uploadClient {
 	t.Helper()
 	conn, err := net.Dial("tcp", node)
@@ -37,7 +41,7 @@
 	t.Cleanup(func() { conn.Close() })
 	_ = conn.SetDeadline(time.Now().Add(testTimeout))
 	c := &uploadClient{conn.(*net.TCPConn), t, chunked}
-	framing := fmt.Sprintf("Content-Length: %d", 2*startOfUpload)
+	framing := fmt.Sprintf("Content-Length: %d", uploadSize)
 	if chunked {
 		framing = "Transfer-Encoding: chunked"
 	}
@@ -66,7 +70,7 @@
 // finish sends the rest of the request.
 func (c *uploadClient) finish() {
 	c.t.Helper()
-	c.sendBody(startOfUpload)
+	c.sendBody(uploadSize - startOfUpload)
 	if c.chunked {
 		c.send("0\r\n\r\n")
 	}
@@ -84,9 +88,10 @@
 // uploadServer is the HTTP server for the clients of a loop. It buffers no large body completely, and observes how bodies
 // are read.
 type uploadServer struct {
-	addr   string
-	loop   *loop
-	module *scriptedModule
+	addr    string
+	loop    *loop
+	module  *scriptedModule
+	clients *clientListener
 
 	mu      sync.Mutex
 	read    int  // bytes of bodies read so far
@@ -106,7 +111,7 @@
 		r.Body = observedBody{r.Body, u}
 		s.ServeHTTP(w, r)
 	})
-	u.addr, _ = serveClientsWith(t, s)
+	u.addr, u.clients = serveClientsWith(t, s)
 	return u
 }
 
@@ -218,21 +223,7 @@
 // An attempt that is stopped during an upload forwards nothing more and spoils nothing: the body can still be read, by
 // another attempt if nothing of the rest was read for the first.
 func TestStoppedStreamLeavesBodyToOthers(t *testing.T) {
-	var server net.Conn
-	accepted := make(chan struct{})
-	addr := startTCPServer(t, func(c net.Conn, r *bufio.Reader) {
-		server = c
-		close(accepted)
-		_, _ = io.Copy(io.Discard, r)
-	})
-	dialled, err := net.Dial("tcp", addr)
-	if err != nil {
-		t.Fatal(err)
-	}
-	defer dialled.Close()
-	receive(t, "the connection", accepted)
-	defer server.Close()
-	conn := dialled.(*net.TCPConn)
+	conn, _ := dialPair(t)
 	rest, client := io.Pipe()
 	defer client.Close()
 	x := newStreamedRequest(t, "r1", rest, -1)
@@ -274,3 +265,29 @@
 		t.Errorf("the rest is %q, %v, %v", got, err, x.bodyRest.failure())
 	}
 }
+
+// dialPair returns the two ends of a connection.
+func dialPair(t *testing.T) (client, server *net.TCPConn) {
+	t.Helper()
+	accepted := make(chan net.Conn, 1)
+	addr := startTCPServer(t, func(c net.Conn, r *bufio.Reader) {
+		accepted <- c
+		_, _ = io.Copy(io.Discard, r)
+	})
+	conn, err := net.Dial("tcp", addr)
+	if err != nil {
+		t.Fatal(err)
+	}
+	t.Cleanup(func() { conn.Close() })
+	return conn.(*net.TCPConn), receive(t, "the connection", accepted).(*net.TCPConn)
+}
+
+// countBody reads a whole request, and returns the length of its body.
+func countBody(r *bufio.Reader) (n int64, ok bool) {
+	req, err := http.ReadRequest(r)
+	if err != nil {
+		return 0, false
+	}
+	n, err = io.Copy(io.Discard, req.Body)
+	return n, err == nil
+}
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -612,7 +612,7 @@
 // checkWrite returns the rule that writing the first byte of an attempt would violate now, or invariant.None.
 func (u *upstream) checkWrite(c *serverConn, x *clientRequest, params attemptParams, acquireErr, stopCause error) invariant.Rule {
 	return invariant.MayWrite(invariant.Write{
-		ClientLeft:    params.requestCtx.Err() != nil || x.bodyRest == nil && x.client.presence() != clientPresent,
+		ClientLeft:    params.requestCtx.Err() != nil || x.client.presence() != clientPresent,
 		ServerUnknown: errors.Is(acquireErr, errUnknownServer),
 		ServerLeaving: errors.Is(acquireErr, errServerLeaving) || c != nil && u.isLeaving(c.pool),
 		WindowOver:    errors.Is(stopCause, errRepeatWindowOver),
