--- a/internal/node/upload_departures_test.go
+++ b/internal/node/upload_departures_test.go
@@ -90,7 +90,7 @@
 			x := newStreamedRequest(t, "r1", strings.NewReader("rest"), maxSmallBody+4)
 			x.client = conn
 			disconnect(client.(*net.TCPConn))
-			await(t, "the client's disconnect", conn.inCloseWaitOrReset)
+			await(t, "the client's disconnect", conn.peerHasClosed)
 			u := testUpstream(t, addr)
 			if r := runAttempt(t, u, x); r.code != policy.Cancelled || !errors.Is(r.err, errClientLeft) {
 				t.Errorf("outcome %v, %v", r.code, r.err)
@@ -106,8 +106,8 @@
 	}
 }
 
-// inCloseWaitOrReset reports whether the client has ended or reset its side.
-func (c *clientConn) inCloseWaitOrReset() (ended bool) {
+// peerHasClosed reports whether the client has closed or reset its side, or ended its sending.
+func (c *clientConn) peerHasClosed() (ended bool) {
 	failed := c.raw.Control(func(fd uintptr) { ended = peerClosed(int(fd)) })
 	return failed != nil || ended
 }
@@ -125,7 +125,7 @@
 				x.client, x.bodyRest.client = conn, conn
 				x.bodyRest.body = endWithData{io.MultiReader(strings.NewReader("rest"), readerFunc(func([]byte) (int, error) {
 					disconnect(client.(*net.TCPConn))
-					await(t, "the client's disconnect", conn.inCloseWaitOrReset)
+					await(t, "the client's disconnect", conn.peerHasClosed)
 					return 0, io.EOF
 				})), length >= 0}
 				got, err := io.ReadAll(&requestStream{request: x, conn: server})
