Notice a departure by the socket also while reads fail for a lack of resources

Cause: presence() asked the read-ahead first, and a read that fails for a temporary lack of resources (ENOMEM, ENOBUFS, EINTR) left the client's FIN unseen: the client counted as present.

presence() now asks the socket first, for complete and incomplete requests alike.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -336,10 +336,9 @@
 		c.owner.mu.Lock()
 		defer c.owner.mu.Unlock()
 		switch {
+		case peerClosed(int(fd)): // asked first, since a read may fail for a temporary lack of resources
+			result = clientDeparted
 		case !c.inFlight: // the request isn't complete: nothing is read ahead
-			if peerClosed(int(fd)) {
-				result = clientDeparted
-			}
 		case isDisconnect(c.fillReadAhead(int(fd))):
 			result = clientDeparted
 		case !c.readAheadFullSince.IsZero() && unreadBytes(int(fd)) >= minUnreadHidingFIN:
--- a/internal/node/upload_departures_test.go
+++ b/internal/node/upload_departures_test.go
@@ -85,11 +85,10 @@
 				_, err := r.ReadByte()
 				requests <- err == nil
 			})
-			_, dial := testClientListener(t, 1)
-			client, conn := dial()
+			client, conn := dialClient(t)
 			x := newStreamedRequest(t, "r1", strings.NewReader("rest"), maxSmallBody+4)
 			x.client = conn
-			disconnect(client.(*net.TCPConn))
+			disconnect(client)
 			await(t, "the client's disconnect", conn.peerHasClosed)
 			u := testUpstream(t, addr)
 			if r := runAttempt(t, u, x); r.code != policy.Cancelled || !errors.Is(r.err, errClientLeft) {
@@ -106,6 +105,14 @@
 	}
 }
 
+// dialClient returns the two ends of a client's connection.
+func dialClient(t *testing.T) (client *net.TCPConn, conn *clientConn) {
+	t.Helper()
+	_, dial := testClientListener(t, 1)
+	dialled, conn := dial()
+	return dialled.(*net.TCPConn), conn
+}
+
 // peerHasClosed reports whether the client has closed or reset its side, or ended its sending.
 func (c *clientConn) peerHasClosed() (ended bool) {
 	failed := c.raw.Control(func(fd uintptr) { ended = peerClosed(int(fd)) })
@@ -118,13 +125,12 @@
 	for how, disconnect := range disconnects {
 		for _, length := range []int64{maxSmallBody + 4, -1} {
 			t.Run(fmt.Sprintf("%s, length %d", how, length), func(t *testing.T) {
-				_, dial := testClientListener(t, 1)
-				client, conn := dial()
+				client, conn := dialClient(t)
 				server, _ := dialPair(t)
 				x := newStreamedRequest(t, "r1", nil, length)
 				x.client, x.bodyRest.client = conn, conn
 				x.bodyRest.body = endWithData{io.MultiReader(strings.NewReader("rest"), readerFunc(func([]byte) (int, error) {
-					disconnect(client.(*net.TCPConn))
+					disconnect(client)
 					await(t, "the client's disconnect", conn.peerHasClosed)
 					return 0, io.EOF
 				})), length >= 0}
