--- a/review/standins-2/lib.go
+++ b/review/standins-2/lib.go
@@ -133,10 +133,12 @@
 	cancel   bool
 	position int
 	nodes    int
+	weights  string // what the sizes in the list mean
+	reports  bool   // answers hold load reports
 }
 
 func defaults() options {
-	return options{classes: classes(), memoryMB: 64, sockets: 384, cores: 0.5, cancel: true, nodes: 2}
+	return options{classes: classes(), memoryMB: 64, sockets: 384, cores: 0.5, cancel: true, nodes: 2, weights: "none", reports: true}
 }
 
 // settings follows the example of the page WIRE, with the figures of the site.
@@ -146,6 +148,10 @@
 		services = append(services, map[string]any{"name": c.name, "repeat": c.repeat, "group": c.group, "aim": c.aim,
 			"deadline": c.deadline, "window": c.window, "lateWorth": c.lateWorth, "stream": false, "value": 1.0})
 	}
+	report := map[string]any{"fields": []string{}, "how": "none"}
+	if o.reports {
+		report = map[string]any{"fields": []string{"latency_ms", "util", "qps"}, "how": "answers"}
+	}
 	return map[string]any{
 		"clients": map[string]any{"marksRetry": true}, "familyInfo": map[string]any{"warmKeys": false},
 		"groupSize": o.nodes, "position": o.position, "kinds": []string{"buyuk-7c"}, "localities": []string{"ikitelli"},
@@ -154,9 +160,9 @@
 		"limits": map[string]any{"cancelling": o.cancel, "connIdle": 30000.0, "connectTimeout": 150.0, "maxAttempts": 6,
 			"maxOpen": 20000, "maxRetryAfter": 3000.0, "peerMessages": false, "probes": true, "retryAfter": true,
 			"secondCopies": false, "streamsPerConn": 1},
-		"registryMode": "subscribe", "report": map[string]any{"fields": []string{"latency_ms", "util", "qps"}, "how": "answers"},
+		"registryMode": "subscribe", "report": report,
 		"serviceType": "proxy", "services": services, "tenants": []any{}, "tick": 5.0, "tier": 0, "tiers": []string{"yazici-filo"},
-		"weightSource": "none", "worthBy": "work", "zone": "ikitelli",
+		"weightSource": o.weights, "worthBy": "work", "zone": "ikitelli",
 	}
 }
 
@@ -329,6 +335,17 @@
 
 func (r *registry) addr() string { return r.ln.Addr().String() }
 
+// set adds a member to the list.
+func (r *registry) set(m member) {
+	r.mu.Lock()
+	defer r.mu.Unlock()
+	r.revision++
+	r.members = append(r.members, m)
+	r.since[m.ID] = r.revision
+	close(r.changed)
+	r.changed = make(chan struct{})
+}
+
 func (r *registry) ServeHTTP(w http.ResponseWriter, req *http.Request) {
 	q := req.URL.Query()
 	var index, wait int64
@@ -379,6 +396,7 @@
 	bench *bench
 	name  string
 	ln    net.Listener
+	quiet bool // it doesn't note each request
 	// midway, if set, is called between the head and the body of a request with one.
 	midway func(t *transcriber, conn *net.TCPConn, head *http.Request)
 	// idleTime is after which it closes an idle connection; 0: never.
@@ -436,7 +454,9 @@
 			return
 		}
 		r.body = body
-		t.bench.note("%s: ran request %s (%s, body %d, deadline %s)", t.name, r.id, head.Method, len(body), head.Header.Get("X-Deadline-Ms"))
+		if !t.quiet {
+			t.bench.note("%s: ran request %s (%s, body %d, deadline %s)", t.name, r.id, head.Method, len(body), head.Header.Get("X-Deadline-Ms"))
+		}
 		if t.answer != nil {
 			if !t.answer(t, r) {
 				return
