--- a/review/7/run.sh
+++ b/review/7/run.sh
@@ -7,4 +7,4 @@
 for program in "$root/bin/wayhold" "$root/review/standins-2/bin/standins-2"; do
 	[ -x "$program" ] || { echo "not built: ${program#"$root/"} (deploy/balancer.toml, review/build-2.sh)"; exit 2; }
 done
-exec "$program" half-written-crowd "$root" "$folder"
+exec "$program" upload-hang "$root" "$folder"
--- a/review/standins-2/cold.go
+++ b/review/standins-2/cold.go
@@ -101,7 +101,7 @@
 	var all []*nodeProcess
 	for i := range nodes {
 		o.position = i
-		all = append(all, b.startNode(fmt.Sprintf("n%d", i), o, discovery.addr(), list, freeAddress(), b.temp))
+		all = append(all, b.startNode(fmt.Sprintf("n%d", i), o, discovery.addr(), list, freeAddress()))
 	}
 	for _, n := range all {
 		n.awaitReady()
