--- a/review/standins-2/lib.go
+++ b/review/standins-2/lib.go
@@ -17,6 +17,7 @@
 	"path/filepath"
 	"strings"
 	"sync"
+	"sync/atomic"
 	"syscall"
 	"time"
 )
@@ -195,9 +196,14 @@
 	return ""
 }
 
-// freeAddress returns a loopback address with a port that is free now.
+// addresses counts the loopback addresses given out.
+var addresses atomic.Int64
+
+// freeAddress returns a free port of a loopback address of its own, so that no other socket takes the port before the node
+// listens there.
 func freeAddress() string {
-	ln, err := net.Listen("tcp", "127.0.0.1:0")
+	i, pid := addresses.Add(1), os.Getpid()
+	ln, err := net.Listen("tcp", fmt.Sprintf("127.%d.%d.%d:0", 64+pid%64, pid/64%250+1, i%250+1))
 	if err != nil {
 		panic(err)
 	}
@@ -232,7 +238,9 @@
 	if err := n.cmd.Start(); err != nil {
 		b.fail("%v", err)
 	}
+	b.mu.Lock()
 	b.nodes = append(b.nodes, n)
+	b.mu.Unlock()
 	go func() {
 		err := n.cmd.Wait()
 		log.Close()
