Answer a large request in time while a server hangs or reads it slowly

Until then no timer ran but the stall timeout of 10 s. A client has written its last byte once it is in a socket buffer, though.

Change: upload.earliestEnd bounds the time of the last byte: the last wait at an empty socket, or when the rest fitted into the buffers of both sides. The timers of loop, handler and attempt go by it and are set again when it moves. The receive buffer of a client with a large body is limited, and the body is read fast enough for what the buffers hide. A body that waits for memory is refused in time at any length.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -77,11 +77,8 @@
 			clientDeadline: l.clock.toTime(r.arrivedAt + r.clientTimeout),
 			beginBy:        beginBy,
 			requestCtx:     r.ctx,
-			onUploaded: func(took time.Duration) {
-				r.postponeHandler(l.clock, took)
-				l.send(uploadEnd{r, took})
-			},
-			onEnd: func(e attemptResult) { l.send(attemptEnd{r, n, e}) },
+			uploadDeadline: func() time.Time { return l.clock.toTime(r.deadlineNow(l.clock)) },
+			onEnd:          func(e attemptResult) { l.send(attemptEnd{r, n, e}) },
 		})
 	})
 }
--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -640,7 +640,7 @@
 	runLoop(t, l, addr)
 	node, _ := serveClients(t, l)
 	exhaustRequestMemory(t, up.memory)
-	for _, length := range []int{100, maxSmallBody + 1} {
+	for _, length := range []int{100, maxSmallBody + 1, 400 << 10, 1 << 20} {
 		expectRefusal(t, postBody(t, node, length, 200*time.Millisecond))
 	}
 }
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -28,6 +28,8 @@
 	scanner            headScanner
 	readAhead          readAheadBuffer // read, but not delivered to net/http yet
 	readAheadFullSince time.Time       // unread data may have arrived since then; zero: the socket has been read empty
+	waitingForData     bool            // a reader has found the socket empty and waits
+	lastWaitEnded      time.Time       // when the newest data arrived that such a reader waited for; zero: never
 	chunkedEnd         chan struct{}   // closed at the end of the chunked body that is being read; nil: there is none
 	// inFlight means that the node has a complete request. Data behind it is read ahead and kept from net/http, which
 	// stops watching for a disconnect as soon as it has read a byte of the next request.
@@ -216,9 +218,10 @@
 			return err != nil
 		}
 		if n, err = readSocket(int(fd), p); n > 0 {
+			c.endWaitForData(int(fd))
 			n = c.deliverRead(p[:n], c.arrivalTime(int(fd)))
 		} else if err == syscall.EAGAIN {
-			c.readAheadFullSince = time.Time{}
+			c.readAheadFullSince, c.waitingForData = time.Time{}, true
 		}
 		return err != syscall.EAGAIN
 	})
@@ -228,6 +231,41 @@
 	return n, err
 }
 
+// endWaitForData records that a reader has received data, for which it may have waited.
+func (c *clientConn) endWaitForData(fd int) {
+	if c.waitingForData {
+		c.waitingForData, c.lastWaitEnded = false, time.Now().Add(-lastDataAge(fd))
+	}
+}
+
+// lastWaitForData returns the latest time at which a reader is known to have waited for the client's next data: the client
+// wrote that data then or later. It returns the present if a reader is waiting now, and zero if none ever did.
+func (c *clientConn) lastWaitForData() (last time.Time) {
+	if c == nil {
+		return time.Time{}
+	}
+	_ = c.raw.Control(func(fd uintptr) { // fails only on a closed connection
+		c.owner.mu.Lock()
+		defer c.owner.mu.Unlock()
+		switch {
+		case !c.waitingForData:
+			last = c.lastWaitEnded
+		case unreadBytes(int(fd)) > 0: // the reader has not run yet
+			last = time.Now().Add(-lastDataAge(int(fd)))
+		default:
+			last = time.Now()
+		}
+	})
+	return last
+}
+
+// limitReceiveBuffer limits what the kernel buffers of a large body: until it is read, it counts as the client's waiting time.
+func (c *clientConn) limitReceiveBuffer() {
+	if c != nil {
+		_ = c.SetReadBuffer(uploadReceiveBuffer) // fails only on a closed connection
+	}
+}
+
 // Write writes a response, and retries for a while if the system is short of buffers.
 func (c *clientConn) Write(p []byte) (int, error) { return writeWithRetry(c.TCPConn, p) }
 
--- a/internal/node/client_request.go
+++ b/internal/node/client_request.go
@@ -32,7 +32,7 @@
 	ctx          context.Context
 	cancel       context.CancelFunc
 	state        atomic.Int32 // holds a requestState
-	handlerTimer *time.Timer  // fires when the handler answers instead of the loop; nil: never
+	handlerTimer *time.Timer  // fires when the handler is to answer instead of the loop
 }
 
 // requestState is whether a request is open, and if not, what ended it. The goroutine that moves it out of the open states
@@ -116,17 +116,24 @@
 	return min(answerMargin, x.clientTimeout/answerMarginDivisor)
 }
 
-// handlerDeadline returns when the handler answers instead of the loop: after the loop's own deadline timer, and before
-// the client stops waiting.
-func (x *clientRequest) handlerDeadline(c clock) time.Time {
-	return c.toTime(x.arrivedAt + x.clientTimeout - x.margin()/4)
+// countsFrom returns the time from which the client's timeout counts: its last byte. For a large body it is the earliest
+// time at which the client can have written that byte, as known now; it moves while the client is still sending.
+func (x *clientRequest) countsFrom(c clock) policy.Time {
+	if x.bodyRest == nil {
+		return x.arrivedAt
+	}
+	return max(x.arrivedAt, c.fromTime(x.bodyRest.earliestEnd()))
 }
 
-// postponeHandler postpones the handler's deadline by the time that forwarding a large body took.
-func (x *clientRequest) postponeHandler(c clock, took time.Duration) {
-	if x.handlerTimer != nil {
-		x.handlerTimer.Reset(time.Until(x.handlerDeadline(c)) + took)
-	}
+// deadlineNow returns when the decision module is to have answered. Like countsFrom it may move.
+func (x *clientRequest) deadlineNow(c clock) policy.Time {
+	return x.countsFrom(c) + x.clientTimeout - x.margin()
+}
+
+// handlerDeadline returns when the handler answers instead of the loop: after the loop's own deadline timer, and before
+// the client stops waiting. Like countsFrom it may move.
+func (x *clientRequest) handlerDeadline(c clock) time.Time {
+	return c.toTime(x.countsFrom(c) + x.clientTimeout - x.margin()/4)
 }
 
 // answer is a response to a client.
--- a/internal/node/events.go
+++ b/internal/node/events.go
@@ -25,7 +25,7 @@
 	switch ev.(type) {
 	case arrival:
 		return arrivalPriority
-	case attemptEnd, uploadEnd:
+	case attemptEnd:
 		return outcomePriority
 	}
 	return controlPriority
@@ -38,7 +38,7 @@
 		return "arrival"
 	case departure:
 		return "departure"
-	case attemptEnd, uploadEnd:
+	case attemptEnd:
 		return "outcome"
 	case receivedUpdate, predecessorList:
 		return "list"
--- a/internal/node/final_answers.go
+++ b/internal/node/final_answers.go
@@ -40,7 +40,7 @@
 		return
 	}
 	now := l.clock.now()
-	if broken := invariant.CheckAnswerTime(now, r.deadline+r.margin()); broken != invariant.None {
+	if broken := invariant.CheckAnswerTime(now, r.deadlineNow(l.clock)+r.margin()); broken != invariant.None {
 		l.monitor.RecordViolation(broken, r.req.ID, "after", now-r.arrivedAt, "waits", r.clientTimeout, "by", by)
 	}
 	l.requestLog.recordEnd(now, r, a, by)
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -23,6 +23,7 @@
 		defer close(answered)
 		e.conn.waitReadable()
 	}()
+	stopTimeout := e.limitUploadTime()
 	select {
 	case err = <-written:
 	case <-answered:
@@ -34,6 +35,7 @@
 		}
 		early = err != nil
 	}
+	stopTimeout()
 	if err != nil {
 		if early && ctx.Err() == nil {
 			e.attemptTimer.Reset(earlyResponseTimeout)
@@ -44,12 +46,48 @@
 		return false, err
 	}
 	e.uploadTime = time.Since(began)
-	e.params.onUploaded(e.uploadTime)
-	e.attemptTimer.Reset(time.Until(e.params.deadline.Add(e.uploadTime)))
+	e.attemptTimer.Reset(time.Until(e.answerDeadline()))
 	<-answered
 	return false, nil
 }
 
+// answerDeadline returns when the attempt times out once a large body has been forwarded.
+func (e *exchange) answerDeadline() time.Time {
+	deadline, last := e.params.deadline.Add(e.uploadTime), e.params.uploadDeadline()
+	if last.Before(deadline) {
+		return last
+	}
+	return deadline
+}
+
+// limitUploadTime makes the attempt time out at params.uploadDeadline, however that moves, until the returned function is
+// called. A server that takes the body too slowly thus doesn't hold up the client's answer.
+func (e *exchange) limitUploadTime() (stop func()) {
+	stopped, ended := make(chan struct{}), make(chan struct{})
+	go func() {
+		defer close(ended)
+		timeout := time.NewTimer(time.Until(e.params.uploadDeadline()))
+		defer timeout.Stop()
+		for {
+			select {
+			case <-stopped:
+				return
+			case <-timeout.C:
+			}
+			left := time.Until(e.params.uploadDeadline())
+			if left <= 0 {
+				e.attemptTimer.Reset(0)
+				return
+			}
+			timeout.Reset(left)
+		}
+	}()
+	return func() {
+		close(stopped)
+		<-ended
+	}
+}
+
 // requestStream forwards one large request to one server. It is both the source of the part of the body that is not in
 // memory and the destination of the request. After stop neither reads or writes any more, and the body is left to others.
 type requestStream struct {
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -27,7 +27,6 @@
 	// client waits only briefly, 1/answerMarginDivisor of its wait is used instead.
 	answerMargin        = 20 * time.Millisecond
 	answerMarginDivisor = 5
-	maxUploadTime       = maxBodySize/minBodyRate*time.Second + time.Minute
 	sweepInterval       = time.Second // between checks for expired connections and wall-clock steps
 	nodeRetryAfter      = time.Second // Retry-After of requests that the node refuses without the decision module
 	idRetention         = 10 * time.Second
@@ -99,10 +98,6 @@
 	departure struct { // the handler has ended the request: the client left, or the handler responded instead of the loop
 		request *clientRequest
 	}
-	uploadEnd struct { // the last byte of a large body was forwarded to the server
-		request *request
-		took    time.Duration
-	}
 	attemptEnd struct { // an attempt has ended
 		request *request
 		index   int
@@ -249,7 +244,7 @@
 			began := time.Now()
 			l.notifyModule(ctx, policy.Timer{Token: t.token})
 			l.recordEvent(kindOf(timerDue{}), now-t.due, time.Since(began))
-		} else {
+		} else if !l.postponeDeadline(r) {
 			l.fail(ctx, r, http.StatusGatewayTimeout, "backstop") // the decision module has not ended the request in time
 		}
 	}
@@ -270,11 +265,6 @@
 			l.notifyModule(ctx, policy.ClientGone{ID: r.req.ID})
 			l.dropIfDone(r)
 		}
-	case uploadEnd:
-		if r := e.request; !r.ended { // the client's deadline counts from the last byte of its body
-			r.deadline += e.took
-			l.postponeDeadlineTimer(r, r.deadline+r.margin()/2)
-		}
 	case attemptEnd:
 		l.handleAttemptEnd(ctx, e)
 	case receivedUpdate:
@@ -317,26 +307,30 @@
 		return
 	}
 	r := &request{clientRequest: x}
-	r.deadline = x.arrivedAt + x.clientTimeout - r.margin()
+	r.deadline = x.deadlineNow(l.clock)
 	l.requests[x.req.ID] = r
 	l.unanswered++
 	l.requestLog.arrived++
-	r.deadlineTimer = &timer{due: r.deadline + r.margin()/2, deadlineOf: r}
-	if x.bodyRest != nil {
-		r.deadlineTimer.due += maxUploadTime
-	}
+	r.deadlineTimer = &timer{due: r.timerDue(), deadlineOf: r}
 	heap.Push(&l.timers, r.deadlineTimer)
 	req := x.req
 	req.ExpiresIn = max(0, r.deadline-l.clock.now())
 	l.notifyModule(ctx, req)
 }
 
-// postponeDeadlineTimer moves a request's deadline timer to a later time.
-func (l *loop) postponeDeadlineTimer(r *request, due policy.Time) {
-	if r.deadlineTimer.heapPosition >= 0 {
-		r.deadlineTimer.due = due
-		heap.Fix(&l.timers, r.deadlineTimer.heapPosition)
+// timerDue returns when a request's deadline timer is to fire.
+func (r *request) timerDue() policy.Time { return r.deadline + r.margin()/2 }
+
+// postponeDeadline starts a request's deadline timer, which has fired, again if the deadline has moved since it was set, and
+// reports whether it has.
+func (l *loop) postponeDeadline(r *request) bool {
+	r.deadline = r.deadlineNow(l.clock)
+	if r.timerDue() <= l.clock.now() {
+		return false
 	}
+	r.deadlineTimer.due = r.timerDue()
+	heap.Push(&l.timers, r.deadlineTimer)
+	return true
 }
 
 // handleAttemptEnd records an attempt's outcome, responds to the client if the attempt succeeded, and notifies the
--- a/internal/node/request_reader.go
+++ b/internal/node/request_reader.go
@@ -84,6 +84,9 @@
 	if c := clientConnOf(r); c != nil {
 		began = c.expectBody(x.length)
 	}
+	if x.length < 0 || x.length > maxSmallBody {
+		x.client.limitReceiveBuffer()
+	}
 	budget, hold := s.memory.requests, x.length
 	switch {
 	case x.length < 0:
@@ -106,7 +109,8 @@
 	if !began.IsZero() {
 		elapsed = time.Since(began)
 	}
-	up := newUpload(w, x.client, r.Body, elapsed, s.memory.bodyRate)
+	up := newUpload(w, x.client, r.Body, elapsed, max(s.memory.bodyRate, x.leastBodyRate()))
+	up.length = x.length
 	x.body = make([]byte, hold)
 	n, err := io.ReadFull(up, x.body)
 	switch x.body = x.body[:n]; {
@@ -123,9 +127,16 @@
 	return err
 }
 
+// leastBodyRate returns the rate, in bytes per second, at which a body has to be read so that what its client has written
+// unseen by the node is read within half of the client's timeout.
+func (x *clientRequest) leastBodyRate() float64 {
+	return maxUnseenBody / (x.clientTimeout.Seconds() / 2)
+}
+
 // waitForMemory reserves memory for a body. For a small body, or one that has arrived completely, it waits no longer than
-// the client does, because the client of a complete request must get a final answer even if there is no memory. A larger
-// body that hasn't arrived completely is still being sent, and waits on. All waits end when the process stops.
+// the client does, because the client of a complete request must get a final answer even if there is no memory. A body of
+// which so much is unread that the client may have written all of it counts as complete. Any other is still being sent, and
+// waits on. All waits end when the process stops.
 func (s *server) waitForMemory(r *http.Request, x *clientRequest, budget *semaphore.Weighted, bytes int64) (*reservation, error) {
 	if reserved := tryReserve(budget, bytes); reserved != nil {
 		return reserved, nil
@@ -138,7 +149,7 @@
 		for {
 			select {
 			case <-ticker.C:
-				if x.length <= maxSmallBody || x.client.hasUnreadBytes(x.length) {
+				if x.length <= maxSmallBody || x.client.hasUnreadBytes(min(x.length, minUnreadHidingFIN)) {
 					cancel(errNoMemory)
 				}
 			case <-s.answerNow:
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -24,7 +24,7 @@
 	lingerTimeout      = 500 * time.Millisecond  // for a client to read its response and close its side
 	maxLingerBytes     = 256 << 10               // read and discarded in that time, such as the body of a request refused unread
 	maxKeptForUnread   = 8                       // times that a connection to be closed is kept open for a request not read yet
-	minUnreadHidingFIN = 32 << 10                // with so many unread in the socket, the client's FIN may not fit into the buffer
+	minUnreadHidingFIN = 32 << 10                // with so many unread in the socket, the client's FIN or more data may not fit into the buffer
 	maxReadAhead       = 64 << 10                // bytes behind a request in flight that are read to detect a disconnect
 	readyPath          = "/health/ready"
 )
@@ -120,8 +120,7 @@
 	}
 	x.handlerTimer = time.NewTimer(time.Until(x.handlerDeadline(s.loop.clock)))
 	defer x.handlerTimer.Stop()
-	if x.bodyRest != nil { // later, since the body is still to be forwarded
-		x.handlerTimer.Reset(time.Until(x.handlerDeadline(s.loop.clock)) + maxUploadTime)
+	if x.bodyRest != nil {
 		x.bodyRest.watchClient()
 		defer x.bodyRest.stopWatching()
 	}
@@ -142,6 +141,10 @@
 		case a := <-x.reply:
 			s.respond(w, r, x, a)
 		case <-x.handlerTimer.C:
+			if left := time.Until(x.handlerDeadline(s.loop.clock)); left > 0 { // the client has sent more of its body meanwhile
+				x.handlerTimer.Reset(left)
+				continue
+			}
 			s.answerByHandler(w, r, x)
 		case <-s.answerNow:
 			s.answerByHandler(w, r, x)
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -33,10 +33,13 @@
 	controller *http.ResponseController
 	client     *clientConn // nil if the connection was accepted by another listener
 	body       io.Reader
+	length     int64 // of the complete body; -1 if unknown
 	grace      time.Duration
 	complete   chan struct{} // closed when the last byte has been read
 	failed     chan struct{} // closed when the body can't be received completely, because of the client
 	forwarded  atomic.Bool   // bytes beyond the held ones may have been forwarded, so the body can't be sent again
+	progress   uploadProgress
+	endedBy    time.Time // the final result of earliestEnd; set before complete is closed
 
 	mu  sync.Mutex
 	err error // why failed was closed
@@ -51,7 +54,7 @@
 // newUpload reads the body of a request whose head began to arrive the given time ago. Head and body share
 // slowClientLimit, so that a client that sends both very slowly is disconnected in time.
 func newUpload(w http.ResponseWriter, client *clientConn, body io.Reader, elapsed time.Duration, rate float64) *upload {
-	return &upload{controller: http.NewResponseController(w), client: client, body: body,
+	return &upload{controller: http.NewResponseController(w), client: client, body: body, length: -1, progress: newUploadProgress(),
 		complete: make(chan struct{}), failed: make(chan struct{}), limiter: rateLimiter{rate: rate},
 		grace: min(bodyGrace, max(minReadGrace, slowClientLimit-elapsed))}
 }
@@ -81,11 +84,13 @@
 	n, err := u.body.Read(p)
 	u.waited += time.Since(began)
 	u.received += int64(n)
+	u.progress.add(n)
 	u.limiter.add(n)
 	switch {
 	case u.received > maxBodySize:
 		return 0, u.fail(errTooLarge)
 	case err == io.EOF:
+		u.endedBy = u.earliestEnd()
 		u.client.markBodyRead()
 		// From here on net/http keeps reading to detect a client that disconnects, for as long as the response takes.
 		_ = u.controller.SetReadDeadline(time.Time{})
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -527,7 +527,7 @@
 	beginBy        time.Time           // latest time to send the first byte; zero: no limit
 	clientDeadline time.Time           // when the client stops waiting; zero: not known yet
 	requestCtx     context.Context     // done when the client has left or has its response; no attempt may begin after that
-	onUploaded     func(time.Duration) // called when a large body was forwarded completely, with the time it took
+	uploadDeadline func() time.Time    // when a request with a large body is to be given up, as known now; later while its client sends
 	onEnd          func(attemptResult) // called once: at the end of the attempt, or when the beginning of a large response has been read
 }
 
@@ -542,7 +542,7 @@
 	attemptTimer := time.AfterFunc(time.Until(params.deadline), func() { cancel(errAttemptTimedOut) })
 	defer attemptTimer.Stop()
 	if x.bodyRest != nil {
-		attemptTimer.Stop() // streamRequest restarts it
+		attemptTimer.Stop() // streamRequest restarts it, or makes it fire
 	}
 	beginCtx, cancelBegin := ctx, context.CancelFunc(func() {})
 	if !params.beginBy.IsZero() {
--- a/internal/node/upstream_test.go
+++ b/internal/node/upstream_test.go
@@ -37,18 +37,19 @@
 // runAttemptOn sends one attempt to a server and reads its complete response. If the response is truncated, the attempt
 // has failed.
 func runAttemptOn(ctx context.Context, u *upstream, serverID string, x *clientRequest, deadline time.Time) (r attemptResult) {
-	u.sendAttempt(ctx, serverID, x, attemptParams{deadline: deadline, requestCtx: context.Background(), onUploaded: func(time.Duration) {}, onEnd: func(e attemptResult) {
-		if r = e; r.answer.stream == nil {
+	u.sendAttempt(ctx, serverID, x, attemptParams{deadline: deadline, requestCtx: context.Background(),
+		uploadDeadline: func() time.Time { return deadline }, onEnd: func(e attemptResult) {
+			if r = e; r.answer.stream == nil {
+				r.answer.reserved.release()
+				return
+			}
+			rest, err := io.ReadAll(r.answer.stream.rest)
+			if r.answer.body = append(r.answer.body, rest...); err != nil {
+				r.code, r.err = policy.ServerError, err
+			}
 			r.answer.reserved.release()
-			return
-		}
-		rest, err := io.ReadAll(r.answer.stream.rest)
-		if r.answer.body = append(r.answer.body, rest...); err != nil {
-			r.code, r.err = policy.ServerError, err
-		}
-		r.answer.reserved.release()
-		r.answer.stream.end(err)
-	}})
+			r.answer.stream.end(err)
+		}})
 	return r
 }
 
@@ -636,7 +637,7 @@
 	disconnect()
 	var result attemptResult
 	u.sendAttempt(t.Context(), "s0", testClientRequest(http.MethodGet, "r2", ""), attemptParams{deadline: time.Now().Add(testTimeout), requestCtx: clientGone,
-		onUploaded: func(time.Duration) {}, onEnd: func(r attemptResult) { result = r }})
+		onEnd: func(r attemptResult) { result = r }})
 	if result.code != policy.Cancelled {
 		t.Errorf("an attempt whose client has left: %v, %v", result.code, result.err)
 	}
