Pass on large answers that have begun before a planned restart ends the process

Cause: the drain gives open requests the longest deadline and 0.3 s, then closes every connection. It did not know of answers under way, which have no deadline any more.

Change: the drain waits for the answers that are being passed on, up to the time that the largest body takes at the least rate. A process without such answers ends as before.

--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -19,10 +19,14 @@
 	maxDrain             = 3 * time.Second        // upper limit on the longest deadline that a stopping node allows for
 	leavingFraction      = 0.6                    // of the longest deadline, for which a stopping node still accepts connections
 	minLeaving           = 450 * time.Millisecond // new connections arrive for up to 0.4 s after SIGTERM
-	killMargin           = 300 * time.Millisecond // of draining beyond the longest deadline; SIGKILL comes 0.7 s after that deadline
-	readyTimeout         = 5 * time.Second        // after which a node reports ready even if it knows no server
-	drainPollInterval    = 10 * time.Millisecond  // between checks whether clients are left
-	finalAnswerTime      = 100 * time.Millisecond // for the answers to requests ended by endOpenRequests to reach their clients
+	// killMargin is how much longer than the longest deadline a stopping node lets open requests run. SIGKILL may come 0.7 s
+	// after that deadline; the rest of that time is for a process that gets the processor late and for the final answers.
+	killMargin        = 300 * time.Millisecond
+	readyTimeout      = 5 * time.Second        // after which a node reports ready even if it knows no server
+	drainPollInterval = 10 * time.Millisecond  // between checks whether clients are left
+	finalAnswerTime   = 100 * time.Millisecond // for the answers to requests ended by endOpenRequests to reach their clients
+	// maxDownloadDrain limits how long a stopping node passes on large answers that have begun.
+	maxDownloadDrain = maxBodySize/minBodyRate*time.Second + time.Minute
 )
 
 // Listeners are the listeners of a node.
@@ -172,7 +176,7 @@
 // drain ends the service. Clients keep connecting and keep using their connections for a while: there may be no other
 // node for them yet. So at first the node serves as before, and only reports that it isn't ready. Then it accepts no new
 // connections and closes each one after its response, early enough for the requests accepted last to be answered. If a
-// successor serves the clients, it starts closing at once.
+// successor serves the clients, it starts closing at once. Large answers that have begun are passed on to their end.
 func (s *server) drain(c Config, clients *clientListener, serveEnded <-chan error, hasSuccessor bool) {
 	var longest time.Duration
 	for _, class := range c.Settings.Classes {
@@ -199,11 +203,18 @@
 	}
 	s.endOpenRequests()
 	timeout.Reset(finalAnswerTime)
-	if !s.awaitNoClients(clients, timeout.C) {
-		slog.Warn("stopped with client connections open", "connections", clients.openCount())
-		clients.stopLingering()
-		s.http.Close()
+	if s.awaitNoClients(clients, timeout.C) {
+		return
+	}
+	if s.awaitDownloads(maxDownloadDrain) {
+		timeout.Reset(finalAnswerTime)
+		if s.awaitNoClients(clients, timeout.C) {
+			return
+		}
 	}
+	slog.Warn("stopped with client connections open", "connections", clients.openCount())
+	clients.stopLingering()
+	s.http.Close()
 }
 
 // endOpenRequests ends the requests that are still open, and refuses new ones. The handlers do so themselves, since the
@@ -213,6 +224,23 @@
 	close(s.answerNow)
 }
 
+// awaitDownloads waits until the large answers that the node is passing on have ended, up to a limit. It returns false if
+// there are none. Their requests have run, and no deadline applies to them any more: cutting one off would lose it. The
+// platform ends a process that takes too long for it.
+func (s *server) awaitDownloads(limit time.Duration) bool {
+	n := s.downloads.Load()
+	if n == 0 {
+		return false
+	}
+	slog.Info("passing on the large answers that have begun", "answers", n)
+	ticker := time.NewTicker(drainPollInterval)
+	defer ticker.Stop()
+	for began := time.Now(); s.downloads.Load() > 0 && time.Since(began) < limit; {
+		<-ticker.C
+	}
+	return true
+}
+
 // awaitNoClients waits until no client is left. It returns false if timeout fires first.
 func (s *server) awaitNoClients(clients *clientListener, timeout <-chan time.Time) bool {
 	ticker := time.NewTicker(drainPollInterval)
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -30,6 +30,8 @@
 	if c != nil { // otherwise the kernel buffers megabytes for a client that reads slowly
 		_ = c.SetWriteBuffer(streamBuffer)
 	}
+	s.downloads.Add(1)
+	defer s.downloads.Add(-1)
 	err := s.streamResponse(w, a)
 	a.stream.end(err)
 	if err != nil {
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -5,6 +5,7 @@
 	"net"
 	"net/http"
 	"sync"
+	"sync/atomic"
 	"time"
 
 	"cobaltward/internal/invariant"
@@ -38,6 +39,7 @@
 	pieces    sync.Pool // of *[pieceSize]byte
 	http      http.Server
 	answerNow chan struct{} // closed when open requests are to be answered at once, without waiting for the loop
+	downloads atomic.Int64  // large answers that are being passed on
 }
 
 func newServer(c Config, l *loop) *server {
