Pass on an answer of unknown length that comes slowly instead of cutting it off

Cause: without a length, an answer counted as large only once 64 KiB and a byte had come. Until then it was held back under the attempt's time limit. Besides, net/http's reader of chunked bodies keeps the beginning of a chunk until its buffer is full.

Change: such an answer is held for 50 ms at the most, then passed on as it comes; the time limit ends with its head. A chunked answer is read without waiting for more than the next byte. Answers known to be small are held under the time limit as before. An answer of unknown length that breaks later than 50 ms after its head is no longer tried again; the client gets it truncated.

--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -23,6 +23,8 @@
 	clientRequest *clientRequest
 	params        attemptParams
 	attemptTimer  *time.Timer
+	timerStopped  bool        // the time limit of the attempt no longer applies
+	held          *heldAnswer // reads an answer of unknown length; nil: there is none
 	uploadTime    time.Duration
 	surplusBytes  bool // there were surplus bytes after the response
 	reader        *bufio.Reader
@@ -30,8 +32,13 @@
 	response      *http.Response
 }
 
-// releaseReader returns the buffered reader to its pool.
+// releaseReader returns the buffered reader to its pool. If a read is still under way, nobody wants the rest of the answer, and
+// it closes the connection.
 func (e *exchange) releaseReader() {
+	if e.held != nil && e.held.isReading() {
+		e.conn.Close()
+		e.held.awaitRead()
+	}
 	e.reader.Reset(nil)
 	e.readerPool.Put(e.reader)
 	e.reader = nil
@@ -162,7 +169,7 @@
 }
 
 // readBody reads a response's body, or only the beginning of a large one. A body is large if its declared length exceeds
-// maxSmallBody, or if more than that arrives.
+// maxSmallBody, or if more than that arrives, or if its length is unknown and it takes longer than maxAnswerHold.
 func (e *exchange) readBody(ctx context.Context, r *attemptResult) (err error) {
 	length := e.response.ContentLength
 	if r.code != policy.OK { // the client doesn't receive this body
@@ -172,31 +179,52 @@
 		return err
 	}
 	a := &r.answer
-	large := length > maxSmallBody
-	if large {
-		a.reserved, err = reserve(ctx, e.memory.largeAnswers, pieceSize)
-	} else if length != 0 {
-		bufferSize := length
-		if bufferSize < 0 {
-			bufferSize = maxSmallBody + 1
+	switch {
+	case length < 0:
+		return e.readBodyOfUnknownLength(ctx, a)
+	case length > maxSmallBody:
+		if a.reserved, err = reserve(ctx, e.memory.largeAnswers, pieceSize); err == nil {
+			e.limitedSource.N = maxFramingFactor * maxBodySize
+			e.streamBody(a, e.response.Body)
 		}
-		if a.reserved, err = reserve(ctx, e.memory.answers, bufferSize); err != nil {
-			return err
+	case length > 0:
+		if a.reserved, err = reserve(ctx, e.memory.answers, length); err == nil {
+			e.limitedSource.N = maxFramingFactor * maxSmallBody
+			a.body, err = io.ReadAll(io.LimitReader(e.response.Body, length))
+			a.reserved.resize(int64(len(a.body)))
 		}
-		e.limitedSource.N = maxFramingFactor * maxSmallBody
-		a.body, err = io.ReadAll(io.LimitReader(e.response.Body, bufferSize))
-		large = len(a.body) > maxSmallBody
-		a.reserved.resize(int64(len(a.body)))
-	}
-	if err == nil && large {
-		e.limitedSource.N = maxFramingFactor * maxBodySize
-		a.stream = &download{length: length, ended: make(chan error, 1),
-			rest: &stallReader{conn: e.conn.TCPConn, source: e.response.Body, remaining: maxBodySize - int64(len(a.body)),
-				limiter: rateLimiter{rate: e.memory.bodyRate}}}
 	}
 	return err
 }
 
+// readBodyOfUnknownLength reads a body that ends within maxAnswerHold and is small, and the beginning of any other. The time
+// limit of the attempt ends with the answer's head: the server has begun to give an answer, which may be large.
+func (e *exchange) readBodyOfUnknownLength(ctx context.Context, a *answer) (err error) {
+	if a.reserved, err = reserve(ctx, e.memory.answers, maxSmallBody+heldPieceSize); err != nil {
+		return err
+	}
+	e.timerStopped = e.attemptTimer.Stop()
+	e.limitedSource.N = maxFramingFactor * maxBodySize
+	e.held = &heldAnswer{source: e.bodyReader()}
+	holdFor := min(maxAnswerHold, time.Until(e.answerDeadline()))
+	body, whole, err := e.held.readUntil(time.Now().Add(holdFor), maxSmallBody)
+	a.body = body
+	if err != nil || whole {
+		a.reserved.resize(int64(len(body)))
+		return err
+	}
+	a.reserved.resize(max(pieceSize, int64(len(body))))
+	e.streamBody(a, e.held)
+	return nil
+}
+
+// streamBody leaves the rest of a body, which comes from the given source, to the handler.
+func (e *exchange) streamBody(a *answer, rest io.Reader) {
+	a.stream = &download{length: e.response.ContentLength, ended: make(chan error, 1),
+		rest: &stallReader{conn: e.conn.TCPConn, source: rest, remaining: maxBodySize - int64(len(a.body)),
+			limiter: rateLimiter{rate: e.memory.bodyRate}}}
+}
+
 // statusLinePrefix is the beginning of each HTTP/1 response.
 const statusLinePrefix = "HTTP/1."
 
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -51,10 +51,14 @@
 	return false, nil
 }
 
-// answerDeadline returns when the attempt times out once a large body has been forwarded.
+// answerDeadline returns when the attempt times out once the request has been written. The time that a large body took is
+// not counted, unless the client waits no longer.
 func (e *exchange) answerDeadline() time.Time {
-	deadline, last := e.params.deadline.Add(e.uploadTime), e.params.uploadDeadline()
-	if last.Before(deadline) {
+	deadline := e.params.deadline.Add(e.uploadTime)
+	if e.clientRequest.bodyRest == nil {
+		return deadline
+	}
+	if last := e.params.uploadDeadline(); last.Before(deadline) {
 		return last
 	}
 	return deadline
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -598,7 +598,7 @@
 		params.onEnd(r)
 		return
 	}
-	if !attemptTimer.Stop() { // it timed out just before
+	if !e.timerStopped && !attemptTimer.Stop() { // it timed out just before
 		r.answer.discard()
 		r.answer, r.code = answer{}, policy.TimedOut
 	} // otherwise the rest of the response is not subject to the timeout
