Go by a cold server's size, so that a small one among large ones isn't overloaded

Cause: the budget of a cold server was a fraction of what the mean server (or, with load reports, the mean of its kind) serves. The list's size was used nowhere in the module.

Change: warmRate takes the smaller of that mean and the rate of a server of its size. No server gets more than before; with equal sizes each gets exactly what it got.

--- a/policy/balancer.go
+++ b/policy/balancer.go
@@ -14,8 +14,8 @@
 		settings: set, now: now, rng: rand.New(rand.NewPCG(seed, uint64(set.Node))),
 		classes: make(map[string]*class), tenants: make(map[string]Limit, len(set.Tenants)),
 		buckets: make(map[bucketKey]*bucket), pace: 1, sharedThresholdScale: 1, faultWeight: 1, fairShareScale: 1, trialBudget: maxTrialBudget, processCount: 1,
-		warmRates: make(map[string]float64),
-		servers:   make(map[string]*server), requests: make(map[string]*request), attemptBudget: defaultAttemptBudget,
+		warmRates: make(map[string]float64), warmSizeRates: make(map[string]float64),
+		servers: make(map[string]*server), requests: make(map[string]*request), attemptBudget: defaultAttemptBudget,
 		serverIndex: newServerIndex(),
 	}
 	if set.Rules.AttemptBudget != nil {
--- a/policy/cold_test.go
+++ b/policy/cold_test.go
@@ -20,8 +20,9 @@
 	warmSends     int             // number of sends to the warm servers
 	requestCount  int
 	loadReports   bool
-	capacity      float64 // of a warm server, in requests a second
-	coldFails     bool    // the cold server fails all its requests
+	capacity      float64 // of a warm server of size 1, in requests a second
+	sizes         map[string]float64
+	coldFails     bool // the cold server fails all its requests
 }
 
 type simTask struct {
@@ -76,7 +77,7 @@
 			s.schedule(latency, func() {
 				result := Outcome{ID: a.ID, Server: a.Server, Attempt: attemptIndex, Code: OK, Ended: true, Latency: latency}
 				if s.loadReports {
-					result.Report = []float64{0.7, 0.7 * s.capacity}
+					result.Report = []float64{0.7, 0.7 * s.capacity * s.sizes[a.Server]}
 				}
 				if a.Server == coldServerID && s.coldFails {
 					result.Code, result.Ended = ServerError, false
@@ -117,17 +118,34 @@
 // requests.
 func TestColdServerLoadFromAllNodes(t *testing.T) {
 	for _, rate := range []float64{40, 6} { // capacity of each server, in requests a second
-		t.Run(fmt.Sprint(rate), func(t *testing.T) { testColdServerLoad(t, rate) })
+		t.Run(fmt.Sprint(rate), func(t *testing.T) { testColdServerLoad(t, rate, 1, []int{1, 2, 20, 30, 300}) })
 	}
 }
 
-func testColdServerLoad(t *testing.T, capacity float64) {
+// Guards against a small cold server that falls over because it gets a share of what the mean server serves, although the
+// list tells that most others are far larger. The limit on its load is the same.
+func TestSmallColdServerAmongLargeOnes(t *testing.T) {
+	testColdServerLoad(t, 6, 16, []int{2, 24, 100})
+}
+
+// testColdServerLoad checks the load of a cold server of size 1 among warm servers, every second of which has largeSize and
+// the others size 1. capacity is that of a warm server of size 1, in requests a second.
+func testColdServerLoad(t *testing.T, capacity, largeSize float64, nodeCounts []int) {
 	const warmServers = 20 // number of servers besides the cold one
 	membersWithCold := func(up Time) []Member {
 		all := members(warmServers)
+		for i := 0; i < warmServers; i += 2 {
+			all[i].Weight = largeSize
+		}
 		return append(all, Member{Server: coldServerID, Zone: "a", Kind: all[0].Kind, OnlineSince: up, Weight: 1})
 	}
-	for _, nodes := range []int{1, 2, 20, 30, 300} {
+	sizes, totalSize := make(map[string]float64), 0.0
+	for _, m := range membersWithCold(1)[:warmServers] {
+		sizes[m.Server] = m.Weight
+		totalSize += m.Weight
+	}
+	sizes[coldServerID] = 1
+	for _, nodes := range nodeCounts {
 		for _, uneven := range []bool{false, true} {
 			for _, reports := range []bool{false, true} {
 				for _, scenario := range []string{"", "one after another", "restarts", "two processes", "fails", "a lull"} {
@@ -138,7 +156,7 @@
 							set.Rules.OverloadMultiple, set.Rules.OverloadFor = 2.5, 3*time.Second
 							set.Report, set.Tenants = []string{"util", "qps"}, nil
 							sim := &coldServerSim{settings: set, rng: rand.New(rand.NewPCG(seed, uint64(nodes))), loadReports: reports,
-								capacity: capacity, coldFails: scenario == "fails", now: time.Minute}
+								capacity: capacity, sizes: sizes, coldFails: scenario == "fails", now: time.Minute}
 							const started, ends = 63 * time.Second, 87 * time.Second // the cold server is warm at the end
 							newProcess := func(i int, list []Member) *Balancer {
 								set := sim.settings
@@ -161,7 +179,7 @@
 							}
 							// Poisson arrivals at each node, at 0.7 of the total capacity of the warm servers.
 							for i := range nodes {
-								mean := 0.7 * warmServers * capacity * weights[i] / sum
+								mean := 0.7 * totalSize * capacity * weights[i] / sum
 								var arrive func()
 								arrive = func() {
 									sim.requestCount++
--- a/policy/index.go
+++ b/policy/index.go
@@ -18,6 +18,7 @@
 	poolsByKind      map[string][]*pool
 	poolsOfAnyKind   []*pool // pools of classes that are bound to zones only
 	groups           map[groupKey]*group
+	totalSize        float64        // sum of the sizes of the servers in service
 	serversByZone    map[string]int // number of servers in service in each zone that has any
 	warmOutstanding  int            // outstanding attempts of warm servers that are not ejected
 	warmServers      int            // number of these servers
@@ -316,6 +317,7 @@
 // enterService puts s into service with its present zone, group and health.
 func (b *Balancer) enterService(s *server) {
 	s.inService, s.inOwnZone = true, s.Zone == b.settings.Zone
+	b.totalSize += s.size
 	b.serversByZone[s.Zone]++
 	for _, p := range s.group.pools {
 		p.setOf(s).insert(s, b.settings.WarmKeys)
@@ -333,6 +335,7 @@
 		return
 	}
 	s.inService = false
+	b.totalSize -= s.size
 	if b.serversByZone[s.Zone]--; b.serversByZone[s.Zone] == 0 {
 		delete(b.serversByZone, s.Zone)
 	}
@@ -343,6 +346,9 @@
 			p.ejectedCount--
 		}
 	}
+	if b.fleet.len() == 0 { // the sum of fractional sizes may be off by a rounding error
+		b.totalSize = 0
+	}
 	b.rankFaults(s)
 }
 
--- a/policy/index_test.go
+++ b/policy/index_test.go
@@ -43,6 +43,13 @@
 	if !maps.Equal(serversByZone, b.serversByZone) {
 		t.Errorf("servers by zone %v, want %v", b.serversByZone, serversByZone)
 	}
+	totalSize := 0.0
+	for s := range b.walk(&b.fleet) {
+		totalSize += s.size
+	}
+	if math.Abs(totalSize-b.totalSize) > 1e-9 {
+		t.Errorf("total size %v, want %v", b.totalSize, totalSize)
+	}
 	if b.settings.Nodes > maxUnstaggeredNodes { // each node starts its walk at another server
 		_, fraction := math.Modf(float64(b.settings.Node) / math.Phi)
 		for _, list := range []*[]*server{&ownZone, &otherZones} {
--- a/policy/membership.go
+++ b/policy/membership.go
@@ -92,6 +92,11 @@
 	b.markListed(s)
 	b.leaveService(s)
 	s.Member = m
+	if m.Weight > 0 {
+		s.size = max(s.size, m.Weight)
+	} else if s.size == 0 {
+		s.size = 1
+	}
 	old := s.group
 	s.group = b.joinGroup(s)
 	if old != nil {
--- a/policy/slowstart.go
+++ b/policy/slowstart.go
@@ -40,12 +40,18 @@
 		b.coreUse += coreUseGain * (values[utilIndex] - b.coreUse)
 	}
 	if qpsIndex := slices.Index(b.settings.Report, "qps"); qpsIndex >= 0 && qpsIndex < len(values) {
-		rate, ok := b.warmRates[s.Kind]
-		if !ok {
-			rate = values[qpsIndex]
-		}
-		b.warmRates[s.Kind] = rate + rateGain*(values[qpsIndex]-rate)
+		updateRate(b.warmRates, s.Kind, values[qpsIndex])
+		updateRate(b.warmSizeRates, s.Kind, values[qpsIndex]/s.size)
+	}
+}
+
+// updateRate adds a sample to the mean rate of a kind.
+func updateRate(rates map[string]float64, kind string, sample float64) {
+	rate, ok := rates[kind]
+	if !ok {
+		rate = sample
 	}
+	rates[kind] = rate + rateGain*(sample-rate)
 }
 
 // coldBudgetAllows enforces rule 4 (safe fail-back): a cold server gets at most its current fraction of what a warm one
@@ -66,15 +72,27 @@
 	return budget.tokens >= 1
 }
 
-// coldRate returns the rate, in requests a second, at which this process may send to a cold server, and by how much it
-// grows in a second. Without load reports, this node's mean rate per server, summed over the nodes, stands for what a
-// warm server serves.
-func (b *Balancer) coldRate(s *server) (rate, growth float64) {
-	mean := b.answerRate() / float64(max(1, b.fleet.len()))
+// warmRate returns this node's part, in requests a second, of what a warm server of the size of s serves: that of the mean
+// server of its kind, from load reports, or else this node's mean rate per server. A server smaller than the mean gets as
+// much less; for a larger one the list's size is not relied on.
+func (b *Balancer) warmRate(s *server) float64 {
 	if rate, ok := b.warmRates[s.Kind]; ok {
-		mean = rate / float64(b.settings.Nodes)
+		if sizeRate, ok := b.warmSizeRates[s.Kind]; ok {
+			rate = min(rate, sizeRate*s.size)
+		}
+		return rate / float64(b.settings.Nodes)
+	}
+	rate := b.answerRate()
+	if b.fleet.len() == 0 {
+		return rate
 	}
-	mean = max(mean, minWarmRate/float64(b.settings.Nodes))
+	return min(rate/float64(b.fleet.len()), rate*s.size/b.totalSize)
+}
+
+// coldRate returns the rate, in requests a second, at which this process may send to a cold server, and by how much it
+// grows in a second.
+func (b *Balancer) coldRate(s *server) (rate, growth float64) {
+	mean := max(b.warmRate(s), minWarmRate/float64(b.settings.Nodes))
 	fullRate := coldMargin * max(0.5, b.settings.Rules.OverloadMultiple-1) * mean / float64(b.processCount)
 	rate, growth = fullRate*b.rampFraction(s), fullRate*(1-b.settings.Rules.ColdShare)/b.settings.Rules.ColdFor.Seconds()
 	if s.coldCapacity > 0 {
--- a/policy/state.go
+++ b/policy/state.go
@@ -46,7 +46,8 @@
 	recentExtra          []Time        // attempts beyond the first of a request within that span
 	decayedAnswerRate    float64       // answers per second, as of answerRateAt
 	answerRateAt         Time
-	warmRates            map[string]float64      // requests per second that warm servers of each kind serve, from load reports
+	warmRates            map[string]float64      // requests per second that the mean warm server of each kind serves, from load reports
+	warmSizeRates        map[string]float64      // the same for a server of size 1, by the sizes in the list
 	coreUse              float64                 // recent fraction of the servers' cores in use, from load reports
 	unclaimedMemory      map[string]ServerMemory // from the previous process, for servers that are not listed yet
 	isSuccessor          bool                    // this process took over from one that was alive at its start
@@ -71,6 +72,7 @@
 type server struct {
 	Member
 	indexEntry
+	size             float64 // the largest weight that the list has given it, since some weights fall with the load; 1 if it gives none
 	hash             uint64
 	inFlight         int                // this node's attempts in flight
 	abandoned        []abandonedAttempt // attempts given up that the server may still work on
@@ -258,7 +260,8 @@
 // has ages in place of times, since the processes' clocks differ. The zero Memory is empty.
 type Memory struct {
 	Pace, Busy float64            // the pace, and the fraction of the servers' cores in use
-	Rates      map[string]float64 // requests per second that warm servers of each kind serve
+	Rates      map[string]float64 // requests per second that the mean warm server of each kind serves
+	SizeRates  map[string]float64 // the same for a server of size 1
 	Buckets    []BucketMemory
 	Servers    []ServerMemory
 }
@@ -288,7 +291,7 @@
 
 // Snapshot returns what a successor of this process should know.
 func (b *Balancer) Snapshot(now Time) Memory {
-	m := Memory{Pace: b.pace, Busy: b.coreUse, Rates: maps.Clone(b.warmRates), Buckets: b.snapshotBuckets(now)}
+	m := Memory{Pace: b.pace, Busy: b.coreUse, Rates: maps.Clone(b.warmRates), SizeRates: maps.Clone(b.warmSizeRates), Buckets: b.snapshotBuckets(now)}
 	for s := range b.walk(&b.fleet) {
 		l := ServerMemory{Server: s.Server, Threshold: s.threshold, Felt: s.thresholdCut, Latency: s.meanLatency,
 			Faults: s.faultRate, Takes: s.coldCapacity, ColdLevel: s.cold.tokens, Score: s.health.score,
@@ -308,11 +311,8 @@
 		b.pace = min(maxPace, max(minPace, m.Pace))
 	}
 	b.coreUse = min(1, max(0, m.Busy))
-	for kind, rate := range m.Rates {
-		if rate > 0 {
-			b.warmRates[kind] = rate
-		}
-	}
+	restoreRates(b.warmRates, m.Rates)
+	restoreRates(b.warmSizeRates, m.SizeRates)
 	for _, k := range m.Buckets {
 		l, key, ok := b.limitFor(k.Tenant, k.Class)
 		if ok && key == (bucketKey{k.Tenant, k.Class}) && b.mayKeepBucket(key) {
@@ -337,6 +337,15 @@
 	}
 }
 
+// restoreRates takes over the rates above 0.
+func restoreRates(rates, recorded map[string]float64) {
+	for kind, rate := range recorded {
+		if rate > 0 {
+			rates[kind] = rate
+		}
+	}
+}
+
 // startTolerance is how much two processes' times of a server's start may differ: clocks are read at
 // different moments, and start times are in milliseconds.
 const startTolerance = 500 * time.Millisecond
