Keep hundreds of clients at once within the memory limit, whatever they send or read

Causes, by heap profiles under each crowd: thousands of short fields in a head; read-ahead buffers without a common limit; requests past their time, which a pipelining client queued for the loop faster than it takes them; the beginning of a streamed answer kept to its end; a goroutine for each wait for memory and 8 KiB for each closing connection; up to 690 connections at 1,024 descriptors, whatever the memory.

Change: a head has 100 fields at the most (status 400); read-ahead buffers share a budget; a request past its time, or behind two of its connection that the loop hasn't taken up, is refused without the loop; the beginning of an answer is dropped once written; the memory limits the number of client connections (402 at 32 MB), and budgets and heap limit go by what the program leaves.

--- a/cmd/wayhold/main.go
+++ b/cmd/wayhold/main.go
@@ -20,9 +20,18 @@
 	"cobaltward/internal/syserr"
 )
 
-// heapFraction is the share of the memory limit given to the Go runtime. System thread stacks and the sockets use the
-// rest.
-const heapFraction = 0.6
+// The share of the memory limit given to the Go runtime: heapFraction, or with little memory smallHeapFraction of what the
+// program's code and data leave. The rest is for system threads, sockets and what the runtime is late to free.
+const (
+	heapFraction      = 0.6
+	smallHeapFraction = 0.8
+)
+
+// heapLimit returns the Go runtime's memory limit, in bytes.
+func heapLimit(memoryMB int64) int64 {
+	memory := float64(memoryMB << 20)
+	return int64(min(heapFraction*memory, smallHeapFraction*max(0, memory-node.ProgramMemory)))
+}
 
 // A configuration that can't be read at SIGHUP is read again with exponential backoff until reloadTimeout has passed.
 // The old discovery address closes 1.5 s after the signal, and the lists at the new address count as delivered to the
@@ -69,7 +78,7 @@
 		return err
 	}
 	config.LogDropped = logDropped
-	debug.SetMemoryLimit(int64(heapFraction * float64(config.MemoryMB) * (1 << 20)))
+	debug.SetMemoryLimit(heapLimit(config.MemoryMB))
 	runtime.GOMAXPROCS(int(max(1, math.Ceil(config.Cores))))
 	ctx, stop := context.WithCancel(context.Background())
 	defer stop()
--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -586,7 +586,7 @@
 		})
 		l, _ := startLoop(t, addr, sendOnce)
 		if !hasMemory {
-			res := tryReserve(l.upstream.memory.heldRequests, int64(budgetFraction*64*(1<<20)))
+			res := tryReserve(l.upstream.memory.heldRequests, bodyBudget(64))
 			if res == nil {
 				t.Fatal("no memory at the start")
 			}
--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -2,9 +2,11 @@
 
 import (
 	linked "container/list"
+	"errors"
 	"io"
 	"net"
 	"net/http"
+	"sync/atomic"
 	"syscall"
 	"time"
 
@@ -12,6 +14,9 @@
 	"cobaltward/internal/syserr"
 )
 
+// errHeadTooLong ends the reading of a connection whose current head has more than maxHeadLines.
+var errHeadTooLong = errors.New("the head has too many lines")
+
 // clientConn is a client's connection.
 type clientConn struct {
 	*net.TCPConn
@@ -35,6 +40,8 @@
 	// stops watching for a disconnect as soon as it has read a byte of the next request.
 	inFlight bool
 
+	queued atomic.Int32 // requests that the loop hasn't taken up yet
+
 	answered            bool // a response has been sent
 	closeAfterReadAhead bool // close once the requests read ahead are answered; nothing more is read ahead
 	keptForUnread       int  // times that the connection was kept open for a request not read yet
@@ -152,6 +159,21 @@
 	}
 }
 
+// countQueued adds n, which may be negative, to the number of requests that wait for the loop.
+func (c *clientConn) countQueued(n int32) {
+	if c != nil {
+		c.queued.Add(n)
+	}
+}
+
+// queuedArrivals returns the number of requests that wait for the loop.
+func (c *clientConn) queuedArrivals() int32 {
+	if c == nil {
+		return 0
+	}
+	return c.queued.Load()
+}
+
 func (c *clientConn) markAnswered() {
 	if c != nil {
 		c.owner.mu.Lock()
@@ -168,11 +190,23 @@
 	c.owner.mu.Unlock()
 	if lingers && c.CloseWrite() == nil {
 		_ = c.SetReadDeadline(time.Now().Add(c.owner.lingerTime))
-		_, _ = io.CopyN(io.Discard, c.TCPConn, maxLingerBytes)
+		discard(c.TCPConn, maxLingerBytes)
 	}
 	return c.TCPConn.Close()
 }
 
+// discard reads up to n bytes. Unlike io.Discard it takes no more memory than its buffer for as long as that lasts.
+func discard(r io.Reader, n int) {
+	var buffer [1 << 10]byte
+	for n > 0 {
+		m, err := r.Read(buffer[:])
+		if err != nil {
+			return
+		}
+		n -= m
+	}
+}
+
 // tryUnregister unregisters a waiting connection, which the caller closes after unlocking the mutex. It refuses if data has
 // arrived that hasn't been read, since a request might be lost without an answer. Data that arrives later isn't read.
 func (c *clientConn) tryUnregister() bool {
@@ -191,6 +225,9 @@
 // socket or recorded here.
 func (c *clientConn) Read(p []byte) (n int, err error) {
 	c.awaitChunkedEnd(p)
+	if c.refusesHead() {
+		return 0, errHeadTooLong // to which net/http responds with status 400
+	}
 	if n = c.takeReadAhead(p); n > 0 || len(p) == 0 {
 		return n, nil
 	}
@@ -203,6 +240,17 @@
 	}
 }
 
+// refusesHead reports whether the current head has too many lines. If so, the connection ends with the response to it.
+func (c *clientConn) refusesHead() bool {
+	c.owner.mu.Lock()
+	defer c.owner.mu.Unlock()
+	if c.scanner.tooLong && !c.answered { // so that Close lets the client read the response
+		c.answered = true
+		c.owner.metrics.clientConnsClosed.WithLabelValues(closedRejected).Inc()
+	}
+	return c.scanner.tooLong
+}
+
 // readOnce waits for data or an error.
 func (c *clientConn) readOnce(p []byte) (n int, err error) {
 	failed := c.raw.Read(func(fd uintptr) bool {
@@ -314,7 +362,7 @@
 // deliverRead delivers a part of the data that was read, and adds the rest to the read-ahead buffer.
 func (c *clientConn) deliverRead(p []byte, arrived time.Time) int {
 	n := c.deliver(p, func(int) time.Time { return arrived })
-	c.readAhead.append(p[n:], arrived)
+	c.bufferReadAhead(p[n:], arrived)
 	return n
 }
 
@@ -329,9 +377,13 @@
 
 // fillReadAhead buffers data behind the request in flight, and returns an error once the client has disconnected.
 func (c *clientConn) fillReadAhead(fd int) error {
-	for !c.closeAfterReadAhead && len(c.readAhead.bytes) < maxReadAhead {
+	for !c.closeAfterReadAhead {
+		room := min(maxReadAhead-len(c.readAhead.bytes), c.owner.readAheadLeft)
+		if room <= 0 {
+			break
+		}
 		var piece [4 << 10]byte
-		n, err := readSocket(fd, piece[:min(len(piece), maxReadAhead-len(c.readAhead.bytes))])
+		n, err := readSocket(fd, piece[:min(len(piece), room)])
 		switch {
 		case err == syscall.EAGAIN:
 			c.readAheadFullSince = time.Time{}
@@ -339,7 +391,7 @@
 		case err != nil:
 			return err
 		}
-		c.readAhead.append(piece[:n], c.arrivalTime(fd))
+		c.bufferReadAhead(piece[:n], c.arrivalTime(fd))
 	}
 	if c.readAheadFullSince.IsZero() {
 		c.readAheadFullSince = time.Now()
@@ -466,9 +518,16 @@
 	}
 	n := c.deliver(p[:copy(p, c.readAhead.bytes)], c.readAhead.arrivedAt)
 	c.readAhead.consume(n)
+	c.owner.readAheadLeft += n
 	return n
 }
 
+// bufferReadAhead adds data to the read-ahead buffer, and takes its memory from the budget of all connections.
+func (c *clientConn) bufferReadAhead(p []byte, arrived time.Time) {
+	c.readAhead.append(p, arrived)
+	c.owner.readAheadLeft -= len(p)
+}
+
 // arrivedAt returns when the last byte of the request in flight arrived.
 func (c *clientConn) arrivedAt() time.Time {
 	if c == nil {
@@ -521,6 +580,8 @@
 func (c *clientConn) unregister() {
 	c.removeWaiting()
 	c.endChunkedRead()
+	c.owner.readAheadLeft += len(c.readAhead.bytes)
+	c.readAhead = readAheadBuffer{}
 	c.unregistered = true
 	c.owner.open--
 }
--- a/internal/node/clients.go
+++ b/internal/node/clients.go
@@ -22,15 +22,20 @@
 	mu        sync.Mutex
 	changed   sync.Cond
 	baseLimit int
-	open      int
-	waiting   linked.List // of the *clientConn that are to send a request or the rest of one; least recently active first
-	evicted   int         // closed to make room since the last summary
-	closed    bool
-	noLinger  bool // close connections without waiting for their clients
+	// memoryLimit is how many connections the memory is enough for, whatever they send; 0: any number.
+	memoryLimit int
+	open        int
+	// readAheadLeft is how much more of what clients send behind requests in flight may be buffered, in bytes. It may fall
+	// below 0: what net/http has read for an earlier request is buffered in any case.
+	readAheadLeft int
+	waiting       linked.List // of the *clientConn that are to send a request or the rest of one; least recently active first
+	evicted       int         // closed to make room since the last summary
+	closed        bool
+	noLinger      bool // close connections without waiting for their clients
 }
 
 func newClientListener(l net.Listener, baseLimit int) *clientListener {
-	c := &clientListener{Listener: l, baseLimit: baseLimit, lingerTime: lingerTimeout, monitor: new(invariant.Monitor), metrics: newMetrics()}
+	c := &clientListener{Listener: l, baseLimit: baseLimit, readAheadLeft: defaultReadAheadBudget, lingerTime: lingerTimeout, monitor: new(invariant.Monitor), metrics: newMetrics()}
 	c.changed.L = &c.mu
 	return c
 }
@@ -56,10 +61,14 @@
 
 // limit returns the current maximum number of connections.
 func (l *clientListener) limit() int {
-	if l.spareDescriptors == nil {
-		return l.baseLimit
+	limit := l.baseLimit
+	if l.spareDescriptors != nil {
+		limit += max(0, l.spareDescriptors())
 	}
-	return l.baseLimit + max(0, l.spareDescriptors())
+	if l.memoryLimit > 0 {
+		limit = min(limit, l.memoryLimit)
+	}
+	return limit
 }
 
 // reclaim closes a client connection to return a borrowed file descriptor to the server side, and reports whether it did.
--- a/internal/node/departures_test.go
+++ b/internal/node/departures_test.go
@@ -116,7 +116,7 @@
 	l, module := startLoop(t, "127.0.0.1:9", func(policy.Time, policy.Event) []policy.Action { return nil })
 	node, listener := serveClients(t, l)
 	budget := l.upstream.memory
-	budgetSize := max(minBudget, int64(budgetFraction*float64(64<<20)))
+	budgetSize := bodyBudget(64)
 	if !budget.requests.TryAcquire(budgetSize) {
 		t.Fatal("the memory budget is in use")
 	}
--- a/internal/node/head.go
+++ b/internal/node/head.go
@@ -12,6 +12,8 @@
 	violations headViolations // of the last head that was delivered completely
 	headCount  int            // number of heads delivered completely
 	started    bool           // a line of the next head has arrived; net/http skips empty lines before a head
+	lineCount  int            // lines of the current head so far
+	tooLong    bool           // a head had more than maxHeadLines; nothing more may be delivered
 
 	lineLength int // bytes of the current line so far
 	lastCR     bool
@@ -24,6 +26,10 @@
 	chunkedBody   = -2 // net/http must not hold bytes from behind the body's end
 )
 
+// maxHeadLines limits the lines of a head: its request line, 100 fields (as with most proxies) and the empty line. net/http
+// limits only the bytes, and a head of that size with thousands of short fields takes it half a megabyte.
+const maxHeadLines = 102
+
 // maxSingleBytes limits how many bytes of one chunked body are delivered singly, which costs processor time.
 const maxSingleBytes = 16 << 10
 
@@ -117,7 +123,7 @@
 			s.lineLength, s.lastCR = s.lineLength+1, c == '\r'
 			continue
 		}
-		if s.endLine() {
+		if s.endLine() || s.tooLong {
 			return i + 1
 		}
 	}
@@ -132,11 +138,13 @@
 	s.current.transferEncoding = s.current.transferEncoding || hasPrefix(field, "transfer-encoding:")
 	empty := s.lineLength == 0 || s.lineLength == 1 && s.lastCR
 	s.lineLength, s.lastCR = 0, false
+	s.lineCount++
 	if !empty || !s.started {
 		s.started = s.started || !empty
+		s.tooLong = s.lineCount >= maxHeadLines
 		return false
 	}
-	s.violations, s.current, s.started = s.current, headViolations{}, false
+	s.violations, s.current, s.started, s.lineCount = s.current, headViolations{}, false, 0
 	s.headCount++
 	return true
 }
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -207,7 +207,11 @@
 	began := time.Now()
 	waited := began.Sub(ev.queuedAt)
 	kind := kindOf(ev.event)
-	if a, ok := ev.event.(arrival); ok && l.shedder.observe(began, waited) {
+	a, isArrival := ev.event.(arrival)
+	if isArrival {
+		a.request.client.countQueued(-1)
+	}
+	if isArrival && l.shedder.observe(began, waited) {
 		kind = "shed arrival"
 		l.shed(a.request)
 	} else {
--- a/internal/node/memory_budget.go
+++ b/internal/node/memory_budget.go
@@ -7,13 +7,18 @@
 	"golang.org/x/sync/semaphore"
 )
 
+// ProgramMemory is what the program's code and data take of a node's memory, in bytes.
+const ProgramMemory = 10 << 20
+
 const (
 	maxSmallBody   = 64 << 10 // bytes up to which a body is buffered completely
 	maxBodySize    = 32 << 20 // limit of any body, in bytes
 	pieceSize      = 16 << 10 // bytes in which larger bodies are forwarded
 	maxHeldBody    = 1 << 20  // bytes up to which a request's body is buffered completely if there is memory
-	budgetFraction = 1.0 / 16 // of the memory, for each of the separate budgets below
+	budgetFraction = 1.0 / 16 // of the rest, for each of the separate budgets below
 	minBudget      = 2 * maxSmallBody
+	connMemory     = 56 << 10 // of the rest, for each client connection: what it takes itself, and its part of all else
+	minClientConns = 64       // whatever the memory
 )
 
 // memoryBudget limits the memory for bodies. Memory is reserved before a body is read. Requests and responses
@@ -27,8 +32,18 @@
 	bodyRate float64 // bytes per second at which one large body is forwarded
 }
 
+// bodyBudget returns the size of each of the separate budgets, in bytes.
+func bodyBudget(memoryMB int64) int64 {
+	return max(minBudget, int64(budgetFraction*float64(memoryMB<<20-ProgramMemory)))
+}
+
+// maxClientConns returns how many client connections the memory is enough for, whatever they send.
+func maxClientConns(memoryMB int64) int {
+	return max(minClientConns, int((memoryMB<<20-ProgramMemory)/connMemory))
+}
+
 func newMemoryBudget(memoryMB int64, cores float64) *memoryBudget {
-	size := max(minBudget, int64(budgetFraction*float64(memoryMB<<20)))
+	size := bodyBudget(memoryMB)
 	newBudget := func() *semaphore.Weighted { return semaphore.NewWeighted(size) }
 	return &memoryBudget{requests: newBudget(), answers: newBudget(), largeRequests: newBudget(), largeAnswers: newBudget(), heldRequests: newBudget(),
 		bodyRate: bodyRatePerCore * cores}
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -66,6 +66,8 @@
 	s := newServer(c, l)
 	clients := newClientListener(listeners.Clients, clientSockets)
 	clients.monitor = up.monitor
+	clients.readAheadLeft = int(bodyBudget(c.MemoryMB))
+	clients.memoryLimit = maxClientConns(c.MemoryMB)
 	clients.spareDescriptors, up.borrowed, up.reclaim = up.spareDescriptors, clients.borrowed, clients.reclaim
 	l.clients = clients
 	clients.metrics = l.metrics
@@ -221,7 +223,7 @@
 // loop may be late and connections will soon be closed.
 func (s *server) endOpenRequests() {
 	s.loop.send(finish{}) // before the events that the handlers send to the loop
-	close(s.answerNow)
+	s.stop()
 }
 
 // awaitDownloads waits until the large answers that the node is passing on have ended, up to a limit. It returns false if
--- a/internal/node/read_ahead.go
+++ b/internal/node/read_ahead.go
@@ -2,6 +2,9 @@
 
 import "time"
 
+// defaultReadAheadBudget is the memory for the read-ahead buffers of all connections where no memory limit is known.
+const defaultReadAheadBudget = 16 << 20
+
 // readAheadBuffer holds what a client has sent behind its request in flight, with the arrival time of each part: the
 // deadline of a request counts from its arrival, however long it waits behind others.
 type readAheadBuffer struct {
@@ -19,6 +22,10 @@
 	if len(p) == 0 {
 		return
 	}
+	if need := len(b.bytes) + len(p); need > cap(b.bytes) { // append would reserve up to twice as much
+		const step = 4 << 10
+		b.bytes = append(make([]byte, 0, (need+step-1)/step*step), b.bytes...)
+	}
 	b.bytes = append(b.bytes, p...)
 	if last := len(b.parts) - 1; last >= 0 && b.parts[last].arrivedAt.Equal(arrived) {
 		b.parts[last].size += len(p)
--- a/internal/node/request_reader.go
+++ b/internal/node/request_reader.go
@@ -70,6 +70,7 @@
 	x.req = policy.Request{ID: id, Class: class.Name, Tenant: h.Get("X-Tenant"), Key: h.Get("X-Key"),
 		CostHint: time.Duration(hint) * time.Microsecond, Retry: h.Get("X-Retry") == "1"}
 	x.url, x.host, x.idempotencyKey, x.contentType = r.URL, r.Host, h.Get("Idempotency-Key"), h.Get("Content-Type")
+	r.Header = nil // frees what the node doesn't need while the request is open
 	x.setUp()
 	x.arrivedAt = s.loop.clock.fromTime(x.client.arrivedAt())
 	return x, 0, ""
@@ -143,23 +144,18 @@
 	}
 	ctx, cancel := context.WithCancelCause(r.Context())
 	defer cancel(nil)
-	ticker := time.NewTicker(max(time.Millisecond, x.clientTimeout-x.margin()-time.Since(x.client.arrivedAt())))
-	defer ticker.Stop()
-	go func() {
-		for {
-			select {
-			case <-ticker.C:
-				if x.length <= maxSmallBody || x.client.hasUnreadBytes(min(x.length, minUnreadHidingFIN)) {
-					cancel(errNoMemory)
-				}
-			case <-s.answerNow:
-				cancel(errNoMemory)
-				return
-			case <-ctx.Done():
-				return
-			}
+	defer context.AfterFunc(s.stopping, func() { cancel(errNoMemory) })()
+	interval := max(time.Millisecond, x.clientTimeout-x.margin()-time.Since(x.client.arrivedAt()))
+	var check *time.Timer
+	check = time.AfterFunc(time.Hour, func() { // started below, once check is set
+		if x.length <= maxSmallBody || x.client.hasUnreadBytes(min(x.length, minUnreadHidingFIN)) {
+			cancel(errNoMemory)
+		} else if ctx.Err() == nil {
+			check.Reset(interval)
 		}
-	}()
+	})
+	check.Reset(interval)
+	defer check.Stop()
 	reserved, err := reserve(ctx, budget, bytes)
 	if err != nil && context.Cause(ctx) == errNoMemory {
 		err = errNoMemory
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -32,7 +32,7 @@
 	}
 	s.downloads.Add(1)
 	defer s.downloads.Add(-1)
-	err := s.streamResponse(w, a)
+	err := s.streamResponse(w, &a)
 	a.stream.end(err)
 	if err != nil {
 		slog.Info("forwarding a large response failed", "id", x.req.ID, "err", err)
@@ -40,8 +40,8 @@
 	}
 }
 
-// streamResponse forwards a large response to the client piece by piece as it arrives.
-func (s *server) streamResponse(w http.ResponseWriter, a answer) error {
+// streamResponse forwards a large response to the client piece by piece as it arrives. It drops the beginning that was held.
+func (s *server) streamResponse(w http.ResponseWriter, a *answer) error {
 	conn := http.NewResponseController(w)
 	piece := s.pieces.Get().(*[pieceSize]byte)
 	defer s.pieces.Put(piece)
@@ -70,6 +70,7 @@
 	if err := forward(a.body); err != nil {
 		return err
 	}
+	a.body = nil
 	a.reserved.resize(pieceSize)
 	for {
 		n, err := a.stream.rest.Read(piece[:])
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -27,6 +27,7 @@
 	maxKeptForUnread   = 8                       // times that a connection to be closed is kept open for a request not read yet
 	minUnreadHidingFIN = 32 << 10                // with so many unread in the socket, the client's FIN or more data may not fit into the buffer
 	maxReadAhead       = 64 << 10                // bytes behind a request in flight that are read to detect a disconnect
+	maxQueuedArrivals  = 2                       // requests of one connection that wait for the loop
 	readyPath          = "/health/ready"
 )
 
@@ -38,13 +39,15 @@
 	memory    *memoryBudget
 	pieces    sync.Pool // of *[pieceSize]byte
 	http      http.Server
-	answerNow chan struct{} // closed when open requests are to be answered at once, without waiting for the loop
-	downloads atomic.Int64  // large answers that are being passed on
+	stopping  context.Context // ends when open requests are to be answered at once, without waiting for the loop
+	stop      context.CancelFunc
+	downloads atomic.Int64 // large answers that are being passed on
 }
 
 func newServer(c Config, l *loop) *server {
-	s := &server{loop: l, classes: make(map[string]policy.Class), memory: l.upstream.memory, answerNow: make(chan struct{}),
+	s := &server{loop: l, classes: make(map[string]policy.Class), memory: l.upstream.memory,
 		pieces: sync.Pool{New: func() any { return new([pieceSize]byte) }}}
+	s.stopping, s.stop = context.WithCancel(context.Background())
 	for _, class := range c.Settings.Classes {
 		s.classes[class.Name] = class
 	}
@@ -106,7 +109,7 @@
 	}
 	defer x.cancel()
 	defer x.reserved.release()
-	if s.loop.shedder.shouldRefuse(time.Now(), s.loop.events.oldestArrival()) {
+	if s.mustShed(x) {
 		s.loop.shedder.refusedAtArrival.Add(1)
 		s.loop.metrics.countShed(reasonLoopLagAtArrival)
 		s.respond(w, r, x, nodeRefusal())
@@ -126,10 +129,19 @@
 		x.bodyRest.watchClient()
 		defer x.bodyRest.stopWatching()
 	}
+	c.countQueued(1)
 	s.loop.send(arrival{x})
 	s.awaitAnswer(w, r, x)
 }
 
+// mustShed reports whether to refuse a request without passing it to the loop: the loop lags, the request's time is over, or the
+// loop hasn't taken up earlier requests of the same connection, whose handlers have answered them. Otherwise a client that
+// doesn't wait for its answers could fill the loop's queue.
+func (s *server) mustShed(x *clientRequest) bool {
+	return s.loop.shedder.shouldRefuse(time.Now(), s.loop.events.oldestArrival()) ||
+		time.Until(x.handlerDeadline(s.loop.clock)) <= 0 || x.client.queuedArrivals() >= maxQueuedArrivals
+}
+
 // awaitAnswer waits until a request has ended, and answers it.
 func (s *server) awaitAnswer(w http.ResponseWriter, r *http.Request, x *clientRequest) {
 	clientLeft := r.Context().Done()
@@ -148,7 +160,7 @@
 				continue
 			}
 			s.answerByHandler(w, r, x)
-		case <-s.answerNow:
+		case <-s.stopping.Done():
 			s.answerByHandler(w, r, x)
 		case <-bodyComplete:
 			clientLeft, bodyComplete = r.Context().Done(), nil
--- a/internal/node/upstream.go
+++ b/internal/node/upstream.go
@@ -603,6 +603,7 @@
 		r.answer, r.code = answer{}, policy.TimedOut
 	} // otherwise the rest of the response is not subject to the timeout
 	params.onEnd(r)
+	r = attemptResult{} // the handler drops the beginning of the response once it is written
 	err = <-stream.ended
 	reusable = err == nil && !e.response.Close && e.reader.Buffered() == 0 && c.SetReadDeadline(time.Time{}) == nil
 	e.releaseReader()
