Let other clients' requests run between those that one connection sends at full speed

Cause: the goroutines that serve a connection wake one another, and Go runs the one just woken within the same time slice. With the next request always there, they kept the node's processor for 10 ms before each step of another client's request.

Change: a handler yields before a request that was there before the last one was answered.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -6,6 +6,7 @@
 	"io"
 	"net"
 	"net/http"
+	"runtime"
 	"sync/atomic"
 	"syscall"
 	"time"
@@ -34,6 +35,7 @@
 	readAhead          readAheadBuffer // read, but not delivered to net/http yet
 	readAheadFullSince time.Time       // unread data may have arrived since then; zero: the socket has been read empty
 	waitingForData     bool            // a reader has found the socket empty and waits
+	headsSinceWait     int             // heads that were delivered since such a reader last waited
 	lastWaitEnded      time.Time       // when the newest data arrived that such a reader waited for; zero: never
 	chunkedEnd         chan struct{}   // closed at the end of the chunked body that is being read; nil: there is none
 	// inFlight means that the node has a complete request. Data behind it is read ahead and kept from net/http, which
@@ -89,6 +91,7 @@
 	heads, body := c.scanner.headCount, c.scanner.bodyLeft
 	n := c.scanner.scan(p)
 	c.lastArrival = arrivedAt(n)
+	c.headsSinceWait += c.scanner.headCount - heads
 	if c.scanner.headCount != heads || body > 0 && c.scanner.bodyLeft == 0 {
 		c.inFlight = true
 		c.headDeadline = time.Time{}
@@ -283,6 +286,21 @@
 func (c *clientConn) endWaitForData(fd int) {
 	if c.waitingForData {
 		c.waitingForData, c.lastWaitEnded = false, time.Now().Add(-lastDataAge(fd))
+		c.headsSinceWait = 0
+	}
+}
+
+// yield lets other goroutines run if the client sends its requests faster than they are answered. Otherwise the goroutines
+// that serve it would wake each other and keep the processor for a whole time slice, again and again.
+func (c *clientConn) yield() {
+	if c == nil {
+		return
+	}
+	c.owner.mu.Lock()
+	pipelined := c.headsSinceWait > 1
+	c.owner.mu.Unlock()
+	if pipelined {
+		runtime.Gosched()
 	}
 }
 
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -78,6 +78,7 @@
 
 func (s *server) ServeHTTP(w http.ResponseWriter, r *http.Request) {
 	c := clientConnOf(r)
+	c.yield()
 	switch {
 	case !r.ProtoAtLeast(1, 1): // net/http ignores Transfer-Encoding there
 		reject(w, c, http.StatusBadRequest, "want version 1.1")
