Count the time in which a large body waits for memory towards the request's deadline

Cause: the deadline of a body counted from the arrival of the bytes read last. While a body waits for memory, what the client has written long ago stays in its own buffers, and arrives only when there is memory.

Change: the time of a body that may be large counts from its head, or from the last time that the node waited for the client. The server is told the same time. The rest of a refused body is read at the lower rate: nobody waits for it.

Evidence: TestDeadlineCountsWhileBodyWaitsForMemory failed before in 6 of 6 cases (1.89 s with 1 s of time) and passes now.

--- a/internal/node/attempts.go
+++ b/internal/node/attempts.go
@@ -74,7 +74,7 @@
 		defer cancel()
 		l.upstream.sendAttempt(ctx, a.Server, r.clientRequest, attemptParams{
 			deadline:       l.clock.toTime(deadline),
-			clientDeadline: l.clock.toTime(r.arrivedAt + r.clientTimeout),
+			clientDeadline: l.clock.toTime(r.countsFrom(l.clock) + r.clientTimeout),
 			beginBy:        beginBy,
 			requestCtx:     r.ctx,
 			uploadDeadline: func() time.Time { return l.clock.toTime(r.deadlineNow(l.clock)) },
--- a/internal/node/bodies_test.go
+++ b/internal/node/bodies_test.go
@@ -15,8 +15,6 @@
 	"testing/synctest"
 	"time"
 
-	"golang.org/x/sync/semaphore"
-
 	"cobaltward/internal/discovery"
 	"cobaltward/policy"
 )
@@ -673,13 +671,7 @@
 // exhaustRequestMemory reserves all memory for request bodies until the test ends.
 func exhaustRequestMemory(t *testing.T, budget *memoryBudget) {
 	t.Helper()
-	for _, pool := range []*semaphore.Weighted{budget.requests, budget.largeRequests, budget.heldRequests} {
-		taken := int64(0)
-		for pool.TryAcquire(1 << 10) {
-			taken += 1 << 10
-		}
-		t.Cleanup(func() { pool.Release(taken) })
-	}
+	t.Cleanup(holdRequestMemory(budget))
 }
 
 // postBody sends a request with a body of the given length and the client timeout on a new connection.
--- a/internal/node/client_request.go
+++ b/internal/node/client_request.go
@@ -22,7 +22,8 @@
 	bodyRest       *upload      // the rest of a large body; nil: none
 	length         int64        // of the complete body; -1 if unknown
 	reserved       *reservation // memory for the body
-	arrivedAt      policy.Time  // when the last byte, or the beginning of a large body, had been read
+	lastByteAt     time.Time    // when the last byte, or the beginning of a large body, had arrived; zero: not known yet
+	arrivedAt      policy.Time  // the same on the policy clock
 	clientTimeout  time.Duration
 	reply          chan answer // has a buffer of one, so the loop never blocks on the client
 	client         *clientConn // the connection that it came on; nil if accepted by another listener
--- a/internal/node/request_reader.go
+++ b/internal/node/request_reader.go
@@ -72,7 +72,10 @@
 	x.url, x.host, x.idempotencyKey, x.contentType = r.URL, r.Host, h.Get("Idempotency-Key"), h.Get("Content-Type")
 	r.Header = nil // frees what the node doesn't need while the request is open
 	x.setUp()
-	x.arrivedAt = s.loop.clock.fromTime(x.client.arrivedAt())
+	if x.lastByteAt.IsZero() {
+		x.lastByteAt = x.client.arrivedAt()
+	}
+	x.arrivedAt = s.loop.clock.fromTime(x.lastByteAt)
 	return x, 0, ""
 }
 
@@ -85,7 +88,9 @@
 	if c := clientConnOf(r); c != nil {
 		began = c.expectBody(x.length)
 	}
-	if x.length < 0 || x.length > maxSmallBody {
+	headArrivedAt := x.client.arrivedAt()
+	mayBeLarge := x.length < 0 || x.length > maxSmallBody
+	if mayBeLarge {
 		x.client.limitReceiveBuffer()
 	}
 	budget, hold := s.memory.requests, x.length
@@ -112,8 +117,12 @@
 	}
 	up := newUpload(w, x.client, r.Body, elapsed, max(s.memory.bodyRate, x.leastBodyRate()))
 	up.length = x.length
+	up.progress.reachedAt[0] = headArrivedAt
 	x.body = make([]byte, hold)
 	n, err := io.ReadFull(up, x.body)
+	if mayBeLarge && x.client != nil { // what arrived while the body was read may have been written before
+		x.lastByteAt = up.earliestEnd()
+	}
 	switch x.body = x.body[:n]; {
 	case err == nil && x.length != hold:
 		x.bodyRest = up
--- a/internal/node/response.go
+++ b/internal/node/response.go
@@ -95,6 +95,7 @@
 	if err := http.NewResponseController(w).Flush(); err != nil {
 		return
 	}
+	x.bodyRest.limitRate(s.memory.bodyRate) // nobody waits for the rest any more
 	piece := s.pieces.Get().(*[pieceSize]byte)
 	defer s.pieces.Put(piece)
 	for {
--- a/internal/node/upload.go
+++ b/internal/node/upload.go
@@ -21,10 +21,11 @@
 )
 
 var (
-	errTooSlow  = errors.New("the body comes too slowly")
-	errTooLarge = errors.New("the body is too large")
-	errNoMemory = errors.New("there is no room for the body")
-	errStopped  = errors.New("the body is not wanted any more")
+	errTooSlow         = errors.New("the body comes too slowly")
+	errTooLarge        = errors.New("the body is too large")
+	errNoMemory        = errors.New("there is no room for the body")
+	errUnseenDeparture = errors.New("too much is sent behind the request to see whether its client is still there")
+	errStopped         = errors.New("the body is not wanted any more")
 )
 
 // upload is a request body that is being received from a client. An attempt reads it while it forwards it; whoever reads it
@@ -101,6 +102,13 @@
 	return n, err
 }
 
+// limitRate sets the rate, in bytes per second, of the reads that follow.
+func (u *upload) limitRate(rate float64) {
+	u.reading.Lock()
+	defer u.reading.Unlock()
+	u.limiter.rate = rate
+}
+
 // watchClient makes the upload fail with errClientLeft if the client disconnects before the next read. net/http notices a
 // disconnect only once the body has been read to its end. The caller must call stopWatching in the end.
 func (u *upload) watchClient() {
--- a/internal/node/upload_deadline_test.go
+++ b/internal/node/upload_deadline_test.go
@@ -10,6 +10,8 @@
 	"testing"
 	"time"
 
+	"golang.org/x/sync/semaphore"
+
 	"cobaltward/internal/invariant"
 )
 
@@ -124,3 +126,37 @@
 		t.Errorf("answered %v after the last byte, with a timeout of %v", took, timeout)
 	}
 }
+
+// Guards against final answers that come late because the time in which a body waits for memory isn't counted: once there is
+// memory, what the client had written long ago arrives, and counted as just written.
+func TestDeadlineCountsWhileBodyWaitsForMemory(t *testing.T) {
+	t.Parallel()
+	const timeout = time.Second
+	node := serveUploads(t, hangingServer(t, 0, 0), sendOnce)
+	for _, size := range []int{100 << 10, 300 << 10, 1 << 20} {
+		for _, chunked := range []bool{true, false} {
+			t.Run(fmt.Sprintf("%d bytes, chunked %v", size, chunked), func(t *testing.T) {
+				release := holdRequestMemory(node.loop.upstream.memory)
+				time.AfterFunc(9*timeout/10, release)
+				expectTimelyAnswer(t, node.addr, fmt.Sprintf("waits-%d-%v", size, chunked), size, chunked, timeout)
+			})
+		}
+	}
+}
+
+// holdRequestMemory takes what is left of the memory for the bodies of requests, and returns a function that releases it.
+func holdRequestMemory(budget *memoryBudget) (release func()) {
+	var releases []func()
+	for _, pool := range []*semaphore.Weighted{budget.requests, budget.largeRequests, budget.heldRequests} {
+		taken := int64(0)
+		for pool.TryAcquire(1 << 10) {
+			taken += 1 << 10
+		}
+		releases = append(releases, func() { pool.Release(taken) })
+	}
+	return func() {
+		for _, release := range releases {
+			release()
+		}
+	}
+}
