Send nothing of a client whose departure is hidden behind unread data

Cause: a FIN comes behind all data and stays on the client's side while the receive window is closed. The node took less than 32 KiB of unread data for a sign that the window is open; the kernel opens it only for a whole segment, on loopback the whole buffer. At the end of a large body it withheld the end only from clients known to have left, not from those that it couldn't see.

Change: a client can't be seen while the read-ahead buffer is full and anything is unread; its request is refused. The same holds at the end of a large body, whose connection stays open. The buffer takes 96 KiB, so that nobody is refused who wasn't before.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -426,8 +426,9 @@
 const (
 	clientPresent clientPresence = iota
 	clientDeparted
-	// presenceUnknown means that the read-ahead buffer is full and so much data is unread in the socket that the client's
-	// FIN may not fit into the socket buffer.
+	// presenceUnknown means that the read-ahead buffer is full and data is unread in the socket, so that the client's FIN may
+	// be held back on its side: it comes behind all data, and once the receive window has closed, the kernel opens it again
+	// only when there is room for a whole segment, which on some networks is the whole buffer.
 	presenceUnknown
 )
 
@@ -449,7 +450,7 @@
 		case !c.inFlight: // the request isn't complete: nothing is read ahead
 		case isDisconnect(c.fillReadAhead(int(fd))):
 			result = clientDeparted
-		case !c.readAheadFullSince.IsZero() && unreadBytes(int(fd)) >= minUnreadHidingFIN:
+		case !c.readAheadFullSince.IsZero() && unreadBytes(int(fd)) >= c.unreadHidingFIN():
 			result = presenceUnknown
 		}
 	})
@@ -459,6 +460,15 @@
 	return result
 }
 
+// unreadHidingFIN returns how many unread bytes may hide the client's FIN. While the connection is to be closed nothing more is read
+// ahead, even if there is room; then a few bytes don't show that the window has closed.
+func (c *clientConn) unreadHidingFIN() int {
+	if c.closeAfterReadAhead {
+		return minUnreadHidingFIN
+	}
+	return 1
+}
+
 // disconnectWatch waits until a client disconnects, while nobody reads from its connection. It reads nothing itself.
 type disconnectWatch struct {
 	conn  *clientConn
--- a/internal/node/exchange.go
+++ b/internal/node/exchange.go
@@ -57,6 +57,8 @@
 		code := classifyError(ctx, err, false)
 		if rest := e.clientRequest.bodyRest; rest != nil && (rest.failure() != nil || e.clientRequest.ctx.Err() != nil) {
 			code = policy.Cancelled // the client failed or needs no answer any more; the server did not fail
+		} else if errors.Is(err, errUnseenDeparture) {
+			code = policy.NotSent
 		}
 		return attemptResult{code: code, err: err}, false
 	}
--- a/internal/node/forward.go
+++ b/internal/node/forward.go
@@ -115,7 +115,7 @@
 
 // Read reads from the part of the body that is not in memory yet. The end of the body of a client that has disconnected is
 // withheld, so that its request never becomes complete at the server: while the body was unread, it may have hidden that
-// the client had left before the attempt began.
+// the client had left before the attempt began. The same holds if what is unread behind the body may hide it still.
 func (s *requestStream) Read(p []byte) (int, error) {
 	if !s.beginRead() {
 		return 0, errStopped
@@ -124,8 +124,13 @@
 	if !s.endRead() {
 		return 0, errStopped
 	}
-	if err == io.EOF && s.request.client.presence() == clientDeparted {
-		return 0, s.request.bodyRest.fail(errClientLeft)
+	if err == io.EOF {
+		switch s.request.client.presence() {
+		case clientDeparted:
+			return 0, s.request.bodyRest.fail(errClientLeft)
+		case presenceUnknown:
+			return 0, errUnseenDeparture
+		}
 	}
 	return n, err
 }
--- a/internal/node/server.go
+++ b/internal/node/server.go
@@ -26,7 +26,7 @@
 	maxLingerBytes     = 256 << 10               // read and discarded in that time, such as the body of a request refused unread
 	maxKeptForUnread   = 8                       // times that a connection to be closed is kept open for a request not read yet
 	minUnreadHidingFIN = 32 << 10                // with so many unread in the socket, the client's FIN or more data may not fit into the buffer
-	maxReadAhead       = 64 << 10                // bytes behind a request in flight that are read to detect a disconnect
+	maxReadAhead       = 96 << 10                // bytes behind a request in flight that are read to detect a disconnect
 	maxQueuedArrivals  = 2                       // requests of one connection that wait for the loop
 	readyPath          = "/health/ready"
 )
