Share the ids of recent requests between the two processes of an upgrade

Cause: each process kept the ids that it has had in its own memory.

Change: both processes map one table of hashed ids in the handover folder, in which an id is claimed by an atomic operation on one word. Neither waits for the other; without the table a process serves as before.

In one process an id that comes again was refused before too.

--- a/internal/node/handover.go
+++ b/internal/node/handover.go
@@ -185,6 +185,9 @@
 	os.Remove(h.path(h.id, standbySuffix))
 	os.Remove(h.path(h.id, lockSuffix))
 	h.lock.Close()
+	if others, err := runningProcesses(h.dir); err == nil && len(others) == 0 {
+		os.Remove(filepath.Join(h.dir, sharedIDsName))
+	}
 }
 
 // recordStandby writes the standby state for a successor at once, before the operator's call returns: the snapshot is
--- a/internal/node/loop.go
+++ b/internal/node/loop.go
@@ -68,7 +68,8 @@
 	updateSequence     atomic.Uint64          // sequence number of the latest update from discovery, in order of receipt
 	lastSent           map[string]sentRequest // the last request sent to each server, for the log
 	recentIDs          recentIDs
-	unanswered         int // open requests that have no response yet
+	sharedIDs          atomic.Pointer[sharedIDs] // the ids that the processes of the node share; nil: there is one process
+	unanswered         int                       // open requests that have no response yet
 	stopping           bool
 	timers             timerHeap
 	requestLog         requestLog
@@ -302,7 +303,7 @@
 	}
 	// The decision module would treat a second request with an open id as the first and never respond to it. A
 	// recently completed request with this id may have run, so its id is not accepted again either.
-	if l.requests[x.req.ID] != nil || !l.recentIDs.add(x.req.ID, l.clock.now()) {
+	if l.requests[x.req.ID] != nil || !l.claimID(x.req.ID) {
 		x.answerDirectly(answer{status: http.StatusConflict})
 		return
 	}
@@ -322,6 +323,15 @@
 	l.notifyModule(ctx, req)
 }
 
+// claimID records the id of a new request. It returns false if this or another process of the node has had it recently.
+func (l *loop) claimID(id string) bool {
+	if !l.recentIDs.add(id, l.clock.now()) {
+		return false
+	}
+	shared := l.sharedIDs.Load()
+	return shared == nil || shared.claim(id, monotonicNanos())
+}
+
 // timerDue returns when a request's deadline timer is to fire.
 func (r *request) timerDue() policy.Time { return r.deadline + r.margin()/2 }
 
--- a/internal/node/node.go
+++ b/internal/node/node.go
@@ -63,6 +63,12 @@
 	if m, ok := l.module.(*policy.Balancer); ok {
 		m.Restore(ck.now(), inherited.Policy, time.Since(inherited.Saved))
 	}
+	defer l.closeSharedIDs() // once the loop has ended
+	if h != nil {
+		if err := h.keepSharedIDs(l); err != nil {
+			slog.Warn("handover: the table of ids can't be opened now", "err", err)
+		}
+	}
 	s := newServer(c, l)
 	clients := newClientListener(listeners.Clients, clientSockets)
 	clients.monitor = up.monitor
--- a/internal/node/shared.go
+++ b/internal/node/shared.go
@@ -72,6 +72,7 @@
 func (s *sharedLimits) step(now time.Time) {
 	hasSuccessor, hasPredecessor := s.hasSuccessor(), s.predecessorAlive()
 	s.retryStandby()
+	_ = s.keepSharedIDs(s.loop) // logged at the start; tried again at the next step
 	s.adjustHeapLimit(hasPredecessor || hasSuccessor)
 	switch {
 	case hasPredecessor:
