Let the requests of the read-ahead test reach the server before data follows them

Cause, from the dump: it waited in vain for the budget to be used up. Where the data came before a request was checked, the node couldn't see behind it and refused the request, as it should, and the closed connections returned their budget. The server's handler then kept the failed test from ending.

Change: the data is sent once all requests are at the server, and a failure releases the handler. What is checked is the same.

--- a/internal/node/head_limit_test.go
+++ b/internal/node/head_limit_test.go
@@ -7,6 +7,7 @@
 	"net"
 	"net/http"
 	"strings"
+	"sync"
 	"testing"
 	"time"
 )
@@ -69,11 +70,16 @@
 // Guards against connections whose pipelined data takes 64 KiB of memory each: all of them share one budget for it, which
 // they return when they end.
 func TestReadAheadBuffersShareOneBudget(t *testing.T) {
-	release := make(chan struct{})
-	addr := startHTTPServer(t, func(http.ResponseWriter, *http.Request) { <-release })
+	const budget, conns = 64 << 10, 8
+	began, release := make(chan struct{}, conns), make(chan struct{})
+	addr := startHTTPServer(t, func(http.ResponseWriter, *http.Request) {
+		began <- struct{}{}
+		<-release
+	})
+	releaseOnce := sync.OnceFunc(func() { close(release) })
+	t.Cleanup(releaseOnce) // before the server is closed
 	l, _ := startLoop(t, addr, sendOnce)
 	node, listener := serveClients(t, l)
-	const budget, conns = 64 << 10, 8
 	listener.mu.Lock()
 	listener.readAheadLeft = budget
 	listener.mu.Unlock()
@@ -88,6 +94,11 @@
 		if err := newRequest(t, node, "GET", "read", fmt.Sprint("r", i), "").Write(c); err != nil {
 			t.Fatal(err)
 		}
+	}
+	for range conns { // otherwise a request whose client can't be seen behind its data may be refused
+		receive(t, "an attempt", began)
+	}
+	for _, c := range clients {
 		_, _ = io.WriteString(c, strings.Repeat("x", maxReadAhead/2))
 	}
 	left := func() int {
@@ -103,6 +114,6 @@
 	for _, c := range clients {
 		c.Close()
 	}
-	close(release)
+	releaseOnce()
 	await(t, "the budget to be returned", func() bool { return left() == budget })
 }
