Count an empty socket as read empty although others use the read-ahead budget

Callers could be refused early: with the budget of all read-ahead buffers used up, a connection with nothing unread counted as not read empty from then on, and a request that followed at once counted from that time.

Cause: the mark was set wherever nothing could be read ahead, which until the budget came meant a full buffer.

Change: the mark is set only where something is unread.

Evidence: TestEmptySocketIsReadEmptyWithoutBudget failed before and passes, three runs under the race detector.

--- a/internal/node/client_conn.go
+++ b/internal/node/client_conn.go
@@ -269,7 +269,10 @@
 		}
 		c.bufferReadAhead(piece[:n], c.arrivalTime(fd))
 	}
-	if c.readAheadFullSince.IsZero() {
+	switch {
+	case unreadBytes(fd) == 0: // there may be no room because of other connections
+		c.readAheadFullSince = time.Time{}
+	case c.readAheadFullSince.IsZero():
 		c.readAheadFullSince = time.Now()
 	}
 	if peerClosed(fd) { // true even if data sent before the end is still unread
--- a/internal/node/head_limit_test.go
+++ b/internal/node/head_limit_test.go
@@ -117,3 +117,24 @@
 	releaseOnce()
 	await(t, "the budget to be returned", func() bool { return left() == budget })
 }
+
+// Guards against a connection with nothing unread that counts as not read empty because others use the whole read-ahead budget:
+// its next request would count from that time.
+func TestEmptySocketIsReadEmptyWithoutBudget(t *testing.T) {
+	l, dial := testClientListener(t, 10)
+	client, conn := dial()
+	sendAndRead(t, client, conn, "GET / HTTP/1.1\r\n\r\n")
+	l.mu.Lock()
+	l.readAheadLeft = 0
+	l.mu.Unlock()
+	if got := conn.presence(); got != clientPresent || !conn.readAheadFullSince.IsZero() {
+		t.Errorf("with nothing unread: presence %v, not read empty since %v", got, conn.readAheadFullSince)
+	}
+	if _, err := io.WriteString(client, "GET"); err != nil {
+		t.Fatal(err)
+	}
+	await(t, "the data", func() bool { return hasUnread(conn.TCPConn) })
+	if got := conn.presence(); got != presenceUnknown || conn.readAheadFullSince.IsZero() {
+		t.Errorf("with data unread: presence %v, not read empty since %v", got, conn.readAheadFullSince)
+	}
+}
